Let a log found by few instances grow to the voters that its losses ask for

Cause: founders are the three addresses that a process is given, and a further instance stayed a learner as long as the number of voters was odd. Where two instances may be lost at once with their disks, three voters keep an accepted change on two disks only. Ruled out: waiting for all three disks, which one silent instance would hold up. Change: control.tolerated_losses; the leader promotes instances that join up to two voters for each loss and one more. An even number bears no more than one voter less, so the sixth instance stays ready as a learner and replaces a silent one. Test: more_voters_than_founders_bear_the_loss_of_two_disks hung at three voters before, and passes now.

Also: an entry learns a request's cost before it ends its exchange.

--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -193,6 +193,7 @@
             log_bytes: 0,
             snapshot_every_entries: settings.snapshot_every_entries,
             max_log_bytes: settings.max_log_bytes,
+            tolerated_losses: settings.tolerated_losses,
             election_timeout: settings.election_timeout,
             opened_term: 0,
             stop_until: None,
--- a/crates/control/src/driver/joining.rs
+++ b/crates/control/src/driver/joining.rs
@@ -143,9 +143,15 @@
         self.node.silent_voter(REPLACE_AFTER)
     }
 
-    /// Returns whether a further voter is wanted: an odd number of them stays odd only by replacement.
+    /// Returns whether a further voter is wanted.
+    ///
+    /// Without a number to reach, an odd number of them stays odd only by replacement.
     fn may_promote(&self) -> bool {
-        self.node.membership().voters.len().is_multiple_of(2)
+        let voters = self.node.membership().voters.len();
+        match self.tolerated_losses {
+            0 => voters.is_multiple_of(2),
+            losses => voters < 2 * losses as usize + 1,
+        }
     }
 
     /// Drops the names of incarnations that are gone, once the joiner has taken their place.
--- a/crates/control/src/driver/thread.rs
+++ b/crates/control/src/driver/thread.rs
@@ -37,6 +37,7 @@
     pub(super) log_bytes: usize,
     pub(super) snapshot_every_entries: u64,
     pub(super) max_log_bytes: usize,
+    pub(super) tolerated_losses: u32,
     pub(super) election_timeout: Duration,
     /// Term that this instance opened in the state as its leader.
     pub(super) opened_term: Term,
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -31,6 +31,9 @@
     pub peers: Vec<Peer>,
     /// Whether an empty folder may form a new fleet from `peers`.
     pub bootstrap: bool,
+    /// Instances that may be lost at once: the log gets two voters for each and one more, as far as there are instances.
+    /// With 0 it keeps the number that it was founded with.
+    pub tolerated_losses: u32,
     /// Time without a leader after which an election begins.
     pub election_timeout: Duration,
     /// Time between a leader's heartbeats.
@@ -57,6 +60,7 @@
             data_folder: None,
             peers: Vec::new(),
             bootstrap: false,
+            tolerated_losses: 0,
             election_timeout: Duration::from_secs(1),
             heartbeat: Duration::from_millis(200),
             snapshot_every_entries: 10_000,
--- a/crates/control/tests/roles/control.rs
+++ b/crates/control/tests/roles/control.rs
@@ -4,8 +4,8 @@
 use hinge_cases::async_cases;
 use hinge_link::CallError;
 use hinge_schema::messages::{
-    Announced, Apply, ApplyReply, AskHistory, AskStatus, ConfigDelta, HistoryReply, StatusReply,
-    Update, Watch,
+    Announced, Apply, ApplyReply, AskHistory, AskStatus, ConfigDelta, HistoryReply, Status,
+    StatusReply, Update, Watch,
 };
 
 fn watch(config_version: u64, epoch: u64, version: u64) -> Watch {
@@ -63,6 +63,21 @@
     }
 }
 
+/// Returns the status at the leader, once there is one that answers.
+async fn status_of(fleet: &Fleet) -> Status {
+    let ask = AskStatus {
+        wait_version: 0,
+        wait_ms: 0,
+    };
+    loop {
+        let leader = fleet.leader().await;
+        if let StatusReply::Status(status) = fleet.operate(&leader, "status", &ask).await {
+            return status;
+        }
+        pause().await;
+    }
+}
+
 async_cases! { real
     a_change_at_a_follower_reaches_a_watcher_at_another => {
         let fleet = Fleet::start(3).await;
@@ -211,4 +226,32 @@
         let back_id = fleet.running[&gone].node_id();
         until_voter(&fleet, back_id).await;
     }
+    more_voters_than_founders_bear_the_loss_of_two_disks => {
+        // Three instances found the log, as their settings name no more; two losses at once need five voters.
+        let mut fleet = Fleet::start_tolerating(3, 2).await;
+        for name in ["control-3", "control-4", "control-5"] {
+            fleet.open(name, false).await;
+        }
+        let voters = loop {
+            let status = status_of(&fleet).await;
+            let voters = status.control.iter().filter(|instance| instance.voter).count();
+            if status.control.len() == 6 && voters >= 5 {
+                break voters;
+            }
+            pause().await;
+        };
+        assert_eq!(voters, 5, "an even number of voters bears no more losses than one less");
+        assert_eq!(version(&fleet.apply(&change("before", 0, vec![team("surf", 1)])).await), 1);
+        let leader = fleet.leader().await;
+        let lost: Vec<Box<str>> = status_of(&fleet).await.control.iter()
+            .filter(|instance| instance.voter && instance.instance != leader)
+            .map(|instance| instance.instance.clone())
+            .take(2)
+            .collect();
+        for name in &lost {
+            fleet.stop(name).await;
+            std::fs::remove_dir_all(fleet.path(name)).expect("the folder can go");
+        }
+        assert_eq!(version(&fleet.apply(&change("after", 1, vec![team("board", 2)])).await), 2);
+    }
 }
--- a/crates/control/tests/roles/fleet.rs
+++ b/crates/control/tests/roles/fleet.rs
@@ -79,6 +79,7 @@
     pub net: Arc<Net>,
     pub folder: tempfile::TempDir,
     pub running: BTreeMap<Box<str>, Control>,
+    tolerated_losses: u32,
     names: Vec<Box<str>>,
 }
 
@@ -88,11 +89,17 @@
 
 impl Fleet {
     pub async fn start(count: usize) -> Self {
+        Self::start_tolerating(count, 0).await
+    }
+
+    /// Starts founders that are told how many losses they are to bear.
+    pub async fn start_tolerating(count: usize, tolerated_losses: u32) -> Self {
         let names: Vec<Box<str>> = (0..count).map(|n| format!("control-{n}").into()).collect();
         let mut fleet = Self {
             net: Arc::default(),
             folder: tempfile::tempdir().expect("the system gives a folder"),
             running: BTreeMap::new(),
+            tolerated_losses,
             names: names.clone(),
         };
         for name in &names {
@@ -130,6 +137,7 @@
         settings.election_timeout = Duration::from_millis(300);
         settings.heartbeat = Duration::from_millis(50);
         settings.snapshot_every_entries = 100;
+        settings.tolerated_losses = self.tolerated_losses;
         let peers = self.names.iter();
         settings.peers = peers
             .map(|name| Peer {
--- a/crates/daemon/src/roles/control.rs
+++ b/crates/daemon/src/roles/control.rs
@@ -77,6 +77,7 @@
         data_folder: common.data_folder.clone(),
         peers: peers(context),
         bootstrap,
+        tolerated_losses: given.tolerated_losses,
         election_timeout: super::millis(given.election_timeout_ms),
         heartbeat: super::millis(given.heartbeat_ms),
         snapshot_every_entries: given.snapshot_every_entries,
--- a/crates/entry/src/bound.rs
+++ b/crates/entry/src/bound.rs
@@ -257,10 +257,11 @@
                     Err(fault) => Event::AnswerBroken(fault.reason()),
                 };
                 if event == Event::End {
-                    self.hold.disarm();
+                    // Learnt first: the end of the exchange lets the sidecar's next grant, and the next offer, go ahead.
                     self.shared
                         .estimates
                         .learn(&self.cost_features, end.service_units);
+                    self.hold.disarm();
                 }
                 Some(Turn::Settled(self.give_up(event)))
             }
