Tell loads at a bounded rate and with each verdict

Cause: every gateway follows every engine, and each engine told its load up to 25 times a second. Change: a gateway takes 150 messages a second over all engines (40 to 500 ms between two of one engine), and a verdict brings the load after it.

--- a/crates/admission/src/serve.rs
+++ b/crates/admission/src/serve.rs
@@ -32,9 +32,6 @@
 /// within a small part of any budget.
 const LOOK_EVERY: Duration = Duration::from_millis(20);
 
-/// Shortest time between two messages of the load to one gateway; several requests come in it at the worst times.
-const LOAD_EVERY: Duration = Duration::from_millis(40);
-
 /// Longest time between two messages of the load, so that a silent connection is noticed.
 const LOAD_AT_LEAST: Duration = Duration::from_millis(500);
 
@@ -42,7 +39,7 @@
 const TELL_EVERY: Duration = Duration::from_secs(1);
 
 /// Messages of the load between two that tell the teams' use.
-const TEAMS_EVERY: u32 = 6;
+const TEAMS_EVERY: u32 = 4;
 
 #[derive(Debug)]
 struct State {
@@ -284,7 +281,8 @@
         return;
     };
     tell_decision(&ask, decided);
-    if sender.send(&verdict(decided)).await.is_err() || matches!(decided, Decision::Refuse { .. }) {
+    let verdict = verdict(decided, load(&place.shared, false));
+    if sender.send(&verdict).await.is_err() || matches!(decided, Decision::Refuse { .. }) {
         return;
     }
     loop {
@@ -324,7 +322,7 @@
     }
 }
 
-fn verdict(decision: Decision) -> AdmitVerdict {
+fn verdict(decision: Decision, load: EngineLoad) -> AdmitVerdict {
     let (granted, retry_after, waited, ahead_tokens) = match decision {
         Decision::Grant {
             waited,
@@ -342,6 +340,7 @@
         retry_after_ms: millis(retry_after),
         wait_ms: millis(waited),
         ahead_tokens,
+        load,
     }
 }
 
@@ -379,9 +378,10 @@
 
 /// Tells a gateway the load whenever it has changed.
 async fn tell_load(shared: Arc<Shared>, mut reader: FrameReader<Body>, sender: FrameSender) {
-    let Ok(Some(_ask)) = reader.next::<AskLoad>().await else {
+    let Ok(Some(ask)) = reader.next::<AskLoad>().await else {
         return;
     };
+    let interval = Duration::from_millis(ask.interval_ms);
     let mut changed = shared.changed.subscribe();
     let mut count = 0_u32;
     loop {
@@ -391,7 +391,7 @@
         if sender.send(&load).await.is_err() {
             return;
         }
-        let quiet = tokio::time::sleep(LOAD_EVERY);
+        let quiet = tokio::time::sleep(interval);
         tokio::select! {
             () = quiet => {}
             () = sender.closed() => return,
--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -6,6 +6,7 @@
 
 use hinge_admission::{ADMIT_PATH, LOAD_PATH};
 use hinge_link::{Client, Exchange};
+use hinge_routing::load_interval;
 use hinge_schema::routing::{AdmitAsk, AdmitLost, AdmitNote, AdmitVerdict, AskLoad, EngineLoad};
 use hinge_telemetry::log::Part;
 use hinge_telemetry::{info, warn};
@@ -88,25 +89,26 @@
         }
     }
 
-    /// Asks for a place, and waits for the verdict.
-    pub(crate) async fn ask(&self, ask: &AdmitAsk) -> Admitted {
+    /// Asks for a place at the endpoint, and waits for the verdict.
+    pub(crate) async fn ask(&self, endpoint: &Endpoint, ask: &AdmitAsk) -> Admitted {
         if self.is_skipped() {
             return Admitted::Unasked;
         }
-        if let Some(admitted) = self.asked(ask).await {
+        if let Some(admitted) = self.asked(endpoint, ask).await {
             return admitted;
         }
         self.skip(ask);
         Admitted::Unasked
     }
 
-    async fn asked(&self, ask: &AdmitAsk) -> Option<Admitted> {
+    async fn asked(&self, endpoint: &Endpoint, ask: &AdmitAsk) -> Option<Admitted> {
         let opened = self.client.open(&self.address, ADMIT_PATH, OPEN_TIMEOUT);
         let mut exchange = opened.await.ok()?;
         exchange.sender.send(ask).await.ok()?;
         let wait = Duration::from_millis(ask.budget_ms) + VERDICT_MARGIN;
         let verdict = timeout(wait, exchange.reader.next::<AdmitVerdict>());
         let verdict = verdict.await.ok()?.ok()??;
+        endpoint.saw_engine_load(&verdict.load);
         if !verdict.granted {
             let retry_after = Duration::from_millis(verdict.retry_after_ms);
             return Some(Admitted::Refused { retry_after });
@@ -136,11 +138,16 @@
         );
     }
 
-    /// Follows the load for as long as the endpoint is known; the first call starts it.
-    pub(crate) fn follow(&self, endpoint: &Arc<Endpoint>) {
+    /// Follows the load for as long as the endpoint is known, one of some engines; the first call starts it.
+    pub(crate) fn follow(&self, endpoint: &Arc<Endpoint>, engines: usize) {
         self.feed.get_or_init(|| {
-            let (client, address) = (self.client.clone(), self.address.clone());
-            tokio::spawn(follow(client, address, Arc::downgrade(endpoint)))
+            let feed = Feed {
+                client: self.client.clone(),
+                address: self.address.clone(),
+                endpoint: Arc::downgrade(endpoint),
+                interval: load_interval(engines),
+            };
+            tokio::spawn(feed.run())
         });
     }
 }
@@ -153,55 +160,64 @@
     }
 }
 
-async fn follow(client: Client, address: Box<str>, endpoint: Weak<Endpoint>) {
-    let mut is_followed = false;
-    loop {
-        follow_once(&client, &address, &endpoint, &mut is_followed).await;
-        if is_followed {
-            warn!(
-                Part::Gateway,
-                "Lost the load of an admission.",
-                address = address
-            );
-        }
-        is_followed = false;
-        if endpoint.strong_count() == 0 {
-            return;
-        }
-        sleep(LOAD_RETRY).await;
-    }
+/// Follows the load of one engine.
+struct Feed {
+    client: Client,
+    address: Box<str>,
+    endpoint: Weak<Endpoint>,
+    interval: Duration,
 }
 
-/// Follows the load until the exchange ends or falls silent.
-async fn follow_once(
-    client: &Client,
-    address: &str,
-    endpoint: &Weak<Endpoint>,
-    is_followed: &mut bool,
-) {
-    let Ok(mut exchange) = client.open(address, LOAD_PATH, LOAD_TIMEOUT).await else {
-        return;
-    };
-    let ask = AskLoad {
-        instance: Box::default(),
-    };
-    if exchange.sender.send(&ask).await.is_err() {
-        return;
+impl Feed {
+    async fn run(self) {
+        let mut is_followed = false;
+        loop {
+            self.follow_once(&mut is_followed).await;
+            if is_followed {
+                warn!(
+                    Part::Gateway,
+                    "Lost the load of an admission.",
+                    address = self.address
+                );
+            }
+            is_followed = false;
+            if self.endpoint.strong_count() == 0 {
+                return;
+            }
+            sleep(LOAD_RETRY).await;
+        }
     }
-    while let Ok(Ok(Some(load))) = timeout(LOAD_TIMEOUT, exchange.reader.next::<EngineLoad>()).await
-    {
-        let Some(endpoint) = endpoint.upgrade() else {
+
+    /// Follows the load until the exchange ends or falls silent.
+    async fn follow_once(&self, is_followed: &mut bool) {
+        let opened = self.client.open(&self.address, LOAD_PATH, LOAD_TIMEOUT);
+        let Ok(mut exchange) = opened.await else {
             return;
         };
-        if !*is_followed {
-            info!(
-                Part::Gateway,
-                "Following the load of an admission.",
-                address = address,
-                endpoint = endpoint.described.id
-            );
+        let ask = AskLoad {
+            instance: Box::default(),
+            interval_ms: u64::try_from(self.interval.as_millis()).unwrap_or(u64::MAX),
+        };
+        if exchange.sender.send(&ask).await.is_err() {
+            return;
+        }
+        while let Ok(Ok(Some(load))) =
+            timeout(LOAD_TIMEOUT, exchange.reader.next::<EngineLoad>()).await
+        {
+            let Some(endpoint) = self.endpoint.upgrade() else {
+                return;
+            };
+            if !*is_followed {
+                info!(
+                    Part::Gateway,
+                    "Following the load of an admission.",
+                    address = self.address,
+                    endpoint = endpoint.described.id,
+                    interval_ms = self.interval.as_millis()
+                );
+            }
+            *is_followed = true;
+            endpoint.saw_engine_load(&load);
         }
-        *is_followed = true;
-        endpoint.saw_engine_load(&load);
     }
 }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -252,7 +252,8 @@
         if !self.has_engine {
             return Admitted::Unasked;
         }
-        admitter.follow(endpoint);
+        let engines = self.fleet.of_service(&self.service).len();
+        admitter.follow(endpoint, engines);
         endpoint.asks(prompt.own_tokens());
         let (shared_key, shared_tokens) = prompt.shared_key().unwrap_or_default();
         // A stream that goes on elsewhere, or was refused there, has used up some of its time.
@@ -273,7 +274,7 @@
             budget_ms: u64::try_from(budget.as_millis()).unwrap_or(u64::MAX),
             elsewhere_tokens: self.used_elsewhere(endpoint),
         };
-        admitter.ask(&ask).await
+        admitter.ask(endpoint, &ask).await
     }
 
     /// Sends a stream that broke off to another endpoint, after the last event that the caller has.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,16 +1,19 @@
 //! Decides where a request goes, without any I/O and with the time as an argument.
 //!
 //! [`Lookup`] finds the route and the team of a request. [`choose`] ranks the endpoints that may take it. [`Budget`]
-//! bounds how often requests are sent a second time, and [`Standing`] keeps endpoints out that fail.
+//! bounds how often requests are sent a second time, and [`Standing`] keeps endpoints out that fail. [`load_interval`]
+//! says how often a gateway wants to hear of their loads.
 
 mod budget;
 mod check;
 mod choose;
+mod feed;
 mod lookup;
 mod standing;
 
 pub use budget::{Budget, BudgetRules};
 pub use check::{TableError, check};
 pub use choose::{Candidate, ChoiceRules, Prompt, PromptPart, choose, home_rank};
+pub use feed::load_interval;
 pub use lookup::Lookup;
 pub use standing::{Standing, StandingRules};
