Turn requests away at a gateway that is short of processor time, and bound its connections

Cause: connections are spread by a hash of the caller, and one hot caller put some 700 requests a second on one gateway with 0.09 of a core. It took them all, passed streams on seconds late, and was killed at 4,000 connections and 88 MB. Change: a standing lag, the least of a window of 200 ms, lowers the limit of requests under way; a quarter of it is kept for teams below an even share; plain requests pass until the lag itself makes them late. Buffers of connections hold 24 KB in place of 64.

--- a/crates/daemon/src/roles/gateway.rs
+++ b/crates/daemon/src/roles/gateway.rs
@@ -43,6 +43,7 @@
             ..ChoiceRules::default()
         },
         max_spill_tokens: given.max_spill_tokens,
+        max_connections: given.max_connections,
     };
     let gateway = Gateway::bind(
         settings,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,17 +4,18 @@
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, OnceLock, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
 use hinge_link::Client;
-use hinge_routing::{Budget, BudgetRules, ChoiceRules};
+use hinge_routing::{Budget, BudgetRules, ChoiceRules, Overload, OverloadRules};
 use hinge_telemetry::info;
 use hinge_telemetry::log::Part;
 use hinge_telemetry::metrics::Registry;
 use hinge_telemetry::readiness::{Readiness, Reason};
-use http::{Request, Response, StatusCode};
+use http::header::CONNECTION;
+use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -26,17 +27,20 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::connections::Connections;
 use crate::dialect::Dialect;
 use crate::fleet::Held;
 use crate::follow;
+use crate::load;
 use crate::metrics::Metrics;
 use crate::serve::serve;
 
 /// Time after which an idle connection of a caller is closed when no table says so.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// Longest headers of a request, in bytes; the tables of today ask for 16 KiB.
-const MAX_HEADER_BYTES: usize = 64 * 1024;
+/// Longest headers of a request, in bytes; the tables of today ask for 16 KiB. A connection's buffer grows up to it and
+/// stays, so it bounds the memory of an idle connection as well.
+const MAX_HEADER_BYTES: usize = 24 * 1024;
 
 /// Wait after a failed accept; it concerns one connection, or a passing lack of descriptors.
 const ACCEPT_RETRY: Duration = Duration::from_millis(10);
@@ -62,6 +66,8 @@
     pub choice: ChoiceRules,
     /// Prompt tokens that an engine may have before it to take a request that another one refused.
     pub max_spill_tokens: u32,
+    /// Connections of callers that are kept at once.
+    pub max_connections: u32,
 }
 
 /// Holds what the requests of a gateway share.
@@ -73,14 +79,21 @@
     pub(crate) data_center: Box<str>,
     pub(crate) choice: ChoiceRules,
     pub(crate) max_spill_tokens: u32,
+    pub(crate) connections: Connections,
     /// When a planned stop cuts what still runs, once one has begun.
     pub(crate) stops_at: OnceLock<Instant>,
+    overload: Mutex<Overload>,
     budget_rules: BudgetRules,
     budgets: Mutex<HashMap<Box<str>, Budget>>,
     began: Instant,
 }
 
 impl Shared {
+    /// Returns the limits of this gateway's own load.
+    pub(crate) fn overload(&self) -> MutexGuard<'_, Overload> {
+        self.overload.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Counts a request to a service.
     pub(crate) fn note_request(&self, service: &str) {
         self.with_budget(service, Budget::request);
@@ -145,7 +158,9 @@
             data_center: settings.data_center,
             choice: settings.choice,
             max_spill_tokens: settings.max_spill_tokens,
+            connections: Connections::new(settings.max_connections),
             stops_at: OnceLock::new(),
+            overload: Mutex::new(Overload::new(OverloadRules::default())),
             budget_rules: settings.budget,
             budgets: Mutex::default(),
             began: Instant::now(),
@@ -154,6 +169,7 @@
         let (seeds, given) = watch::channel(settings.control);
         let callers = tokio::spawn(accept_callers(listener, Arc::clone(&shared), stopped));
         let others = vec![
+            tokio::spawn(load::watch_lag(Arc::clone(&shared))),
             tokio::spawn(answer_readiness(ready_listener, Arc::clone(&readiness))),
             tokio::spawn(follow::run(
                 client,
@@ -236,7 +252,12 @@
             continue;
         };
         shared.metrics.connections.inc();
-        serve_caller(stream, &shared, &graceful);
+        // A caller whose connection closes before its request is read tries another gateway at once.
+        if shared.connections.try_open() {
+            serve_caller(stream, &shared, &graceful);
+        } else {
+            shared.metrics.connections_closed.inc();
+        }
     }
     drop(listener);
     graceful.shutdown().await;
@@ -248,7 +269,14 @@
     let for_requests = Arc::clone(shared);
     let service = service_fn(move |request: Request<Incoming>| {
         let shared = Arc::clone(&for_requests);
-        async move { Ok::<_, Infallible>(serve(shared, request).await) }
+        async move {
+            let mut response = serve(Arc::clone(&shared), request).await;
+            if shared.connections.are_many() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        }
     });
     let fleet = shared.held.current();
     let idle = fleet.lookup.as_ref().map_or(IDLE_TIMEOUT, |lookup| {
@@ -260,9 +288,11 @@
         .max_buf_size(MAX_HEADER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     let watched = graceful.watch(connection);
+    let shared = Arc::clone(shared);
     tokio::spawn(async move {
         // A caller that leaves is noted where its request is served.
         let _ended_or_broken = watched.await;
+        shared.connections.closed();
     });
 }
 
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -16,6 +16,7 @@
 use crate::endpoint::Endpoint;
 use crate::fleet::Fleet;
 use crate::gateway::Shared;
+use crate::load::Running;
 use crate::refusal::Refusal;
 
 /// Time that an attempt needs to be of use.
@@ -53,6 +54,8 @@
     /// Whether the service's endpoints are model engines.
     pub(crate) has_engine: bool,
     pub(crate) rank: u32,
+    /// Its place among the requests that this gateway has under way; plain requests need none.
+    pub(crate) _running: Option<Running>,
     pub(crate) arrived: Instant,
 }
 
--- /dev/null
+++ b/crates/gateway/src/load.rs
@@ -0,0 +1,76 @@
+//! Measures how far behind a gateway is, and holds the places of the requests that it has under way.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hinge_routing::Overloaded;
+use hinge_telemetry::log::Part;
+use hinge_telemetry::{info, warn};
+use tokio::time::{Instant, sleep_until};
+
+use crate::gateway::Shared;
+
+/// Time between two ticks; ten of them are in a window.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Least time between two lines about the load, while it is too much.
+const TELL_EVERY: Duration = Duration::from_secs(1);
+
+/// Notes how late ticks come, until the task is aborted.
+pub(crate) async fn watch_lag(shared: Arc<Shared>) {
+    let began = Instant::now();
+    let mut was_short = false;
+    let mut told_at = began;
+    loop {
+        let due = Instant::now() + TICK;
+        sleep_until(due).await;
+        let now = Instant::now();
+        let (limit, lag, is_short) = {
+            let mut overload = shared.overload();
+            overload.ticked(now - began, now - due);
+            (overload.limit(), overload.lag(), overload.is_short())
+        };
+        if is_short && (!was_short || told_at.elapsed() >= TELL_EVERY) {
+            told_at = now;
+            warn!(
+                Part::Gateway,
+                "Short of processor time.",
+                lag_ms = lag.as_millis(),
+                limit = limit
+            );
+        }
+        if was_short && !is_short {
+            info!(Part::Gateway, "Processor time suffices again.", limit = limit);
+        }
+        was_short = is_short;
+    }
+}
+
+/// Holds the place of a request under way.
+#[derive(Debug)]
+pub(crate) struct Running {
+    shared: Arc<Shared>,
+    team: Box<str>,
+}
+
+impl Running {
+    /// Lets a request begin, unless this gateway has too much to do.
+    ///
+    /// # Errors
+    ///
+    /// Returns what there was no room for.
+    pub(crate) fn begin(shared: &Arc<Shared>, team: Option<&str>) -> Result<Self, Overloaded> {
+        let team = team.unwrap_or_default();
+        shared.overload().try_begin(team)?;
+        Ok(Self {
+            shared: Arc::clone(shared),
+            team: team.into(),
+        })
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.shared.overload().ended(&self.team);
+    }
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,6 +19,7 @@
     first_piece: HistogramFamily<RouteLabels>,
     pub(crate) repeats: Counter,
     pub(crate) connections: Counter,
+    pub(crate) connections_closed: Counter,
     pub(crate) resumed: Counter,
 }
 
@@ -45,6 +46,10 @@
                 "Requests that were sent to a further endpoint.",
             ),
             connections: registry.counter("gateway_connections", "Connections of callers."),
+            connections_closed: registry.counter(
+                "gateway_connections_closed",
+                "Connections of callers that were closed because there were too many.",
+            ),
             resumed: registry.counter("gateway_resumed", "Streams that went on elsewhere."),
         }
     }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -3,11 +3,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hinge_routing::Overloaded;
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderValue, Response, StatusCode};
 
 use crate::body::AnswerBody;
 
+/// When a caller may come back that this gateway is too busy for: its next connection reaches another one, which has room
+/// unless all of them are as busy; then a caller that waits for as long as a window of overload finds places that have ended.
+const ELSEWHERE_RETRY: Duration = Duration::from_millis(50);
+
 /// Says why a gateway answers by itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Refusal {
@@ -26,6 +31,8 @@
         /// When room is expected.
         retry_after: Duration,
     },
+    /// This gateway has too much to do; it did not run, and another gateway can take it at once.
+    Overloaded(Overloaded),
     /// An endpoint may have run it, and its answer is lost.
     Unknown,
     /// The time ran out while an endpoint worked on it.
@@ -37,7 +44,7 @@
         match self {
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoTeam => StatusCode::UNAUTHORIZED,
-            Self::NoTable | Self::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoTable | Self::NotRun { .. } | Self::Overloaded(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BadBody => StatusCode::BAD_REQUEST,
             Self::Unknown => StatusCode::BAD_GATEWAY,
@@ -54,6 +61,7 @@
             Self::TooLong => "body_too_long",
             Self::BadBody => "bad_body",
             Self::NotRun { .. } => "not_run",
+            Self::Overloaded(_) => "overloaded",
             Self::Unknown => "unknown",
             Self::TimedOut => "timed_out",
         }
@@ -67,6 +75,7 @@
             Self::TooLong => "The body is too long.\n",
             Self::BadBody => "The body did not arrive whole.\n",
             Self::NotRun { .. } => "No endpoint could take the request; it did not run.\n",
+            Self::Overloaded(_) => "This instance has too much to do; the request did not run.\n",
             Self::Unknown => "The endpoint's answer is lost; the request may have run.\n",
             Self::TimedOut => "The time ran out; the request may have run.\n",
         }
@@ -82,6 +91,7 @@
         let retry_after = match self {
             Self::NotRun { retry_after } => Some(retry_after),
             Self::NoTable => Some(Duration::from_secs(1)),
+            Self::Overloaded(_) => Some(ELSEWHERE_RETRY),
             _ => None,
         };
         if let Some(time) = retry_after {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hinge_routing::Lookup;
+use hinge_routing::{Lookup, Overloaded};
 use hinge_schema::routing::{RequestKind, Route};
 use hinge_telemetry::info;
 use hinge_telemetry::log::Part;
@@ -23,6 +23,7 @@
 use crate::gateway::Shared;
 use crate::headers::strip_connection;
 use crate::job::{Job, Story, Tried};
+use crate::load::Running;
 use crate::pump;
 use crate::refusal::Refusal;
 
@@ -58,6 +59,13 @@
         Ok(body) => body,
         Err(refusal) => return refuse_early(&gateway, &fleet, &facts, &parts, refusal),
     };
+    let running = match take_place(&gateway, has_engine, team.as_deref()) {
+        Ok(running) => running,
+        Err(overloaded) => {
+            let refusal = Refusal::Overloaded(overloaded);
+            return refuse_early(&gateway, &fleet, &facts, &parts, refusal);
+        }
+    };
     let job = Arc::new(Job {
         outgoing: Outgoing {
             may_go_on: may_run_again(&route),
@@ -70,12 +78,25 @@
         prompt: facts.prompt,
         has_engine,
         rank,
+        _running: running,
         last_event: facts.last_event,
         arrived,
     });
     answer(job).await
 }
 
+/// Takes a place for a request to a model engine; a plain one needs none, but must not be late.
+fn take_place(
+    gateway: &Arc<Shared>,
+    has_engine: bool,
+    team: Option<&str>,
+) -> Result<Option<Running>, Overloaded> {
+    if has_engine {
+        return Running::begin(gateway, team).map(Some);
+    }
+    gateway.overload().check_plain().map(|()| None)
+}
+
 /// Returns whether the requests of a route may run more than once.
 fn may_run_again(route: &Route) -> bool {
     match route.kind {
@@ -183,15 +204,31 @@
     refusal: Refusal,
 ) -> Response<AnswerBody> {
     gateway.metrics.refused(refusal.name());
-    info!(
-        Part::Gateway,
-        "Request.",
-        id = facts.request_id.as_deref().unwrap_or("-"),
-        outcome = refusal.name(),
-        status = refusal.status().as_u16(),
-        path = parts.uri.path(),
-        table = fleet.table_number()
-    );
+    let id = facts.request_id.as_deref().unwrap_or("-");
+    let status = refusal.status().as_u16();
+    if let Refusal::Overloaded(load) = refusal {
+        info!(
+            Part::Gateway,
+            "Request.",
+            id = id,
+            outcome = refusal.name(),
+            status = status,
+            running = load.running,
+            limit = load.limit,
+            team_running = load.team_running,
+            lag_ms = load.lag.as_millis()
+        );
+    } else {
+        info!(
+            Part::Gateway,
+            "Request.",
+            id = id,
+            outcome = refusal.name(),
+            status = status,
+            path = parts.uri.path(),
+            table = fleet.table_number()
+        );
+    }
     refusal.response()
 }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -2,13 +2,15 @@
 //!
 //! [`Lookup`] finds the route and the team of a request. [`choose`] ranks the endpoints that may take it. [`Budget`]
 //! bounds how often requests are sent a second time, and [`Standing`] keeps endpoints out that fail. [`load_interval`]
-//! says how often a gateway wants to hear of their loads.
+//! says how often a gateway wants to hear of their loads, and [`Overload`] which requests it turns away because it is
+//! itself too busy.
 
 mod budget;
 mod check;
 mod choose;
 mod feed;
 mod lookup;
+mod overload;
 mod standing;
 
 pub use budget::{Budget, BudgetRules};
@@ -16,4 +18,5 @@
 pub use choose::{Candidate, ChoiceRules, Prompt, PromptPart, choose, home_rank};
 pub use feed::load_interval;
 pub use lookup::Lookup;
+pub use overload::{Overload, OverloadRules, Overloaded};
 pub use standing::{Standing, StandingRules};
--- /dev/null
+++ b/crates/routing/src/overload.rs
@@ -0,0 +1,202 @@
+//! Decides which requests a gateway turns away because it is itself short of processor time.
+//!
+//! The load pattern: connections are spread over the gateways by a hash of the caller, so that one caller with ten times
+//! its usual load falls upon one gateway. A gateway that takes all of it passes every stream on late, and in the end
+//! answers nobody. One that refuses at once loses little: the caller's next attempt reaches another gateway.
+//!
+//! The sign of overload is a *standing* lag: tasks that are ready wait, and go on waiting over a whole window. The
+//! least lag of a window tells that from a burst or from a processor that is handed out in slices, which the greatest lag
+//! would not. The number of requests under way is the limit that follows it, since streams go on costing for seconds.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Sets when a gateway turns requests away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OverloadRules {
+    /// Standing lag from which on the limit falls.
+    pub target_lag: Duration,
+    /// Standing lag from which on plain requests are turned away as well.
+    pub plain_lag: Duration,
+    /// Time over which the least lag is taken.
+    pub window: Duration,
+    /// Least and greatest limit.
+    pub least: u32,
+    /// Greatest limit: memory for requests under way.
+    pub most: u32,
+}
+
+impl Default for OverloadRules {
+    /// Returns the defaults.
+    ///
+    /// 10 ms is a tenth of the pause that a stream bears on its way, and more than a tick of a busy but able process
+    /// is late by; a plain request is worth serving until the lag is a large part of its 100 ms. In 200 ms a processor that is
+    /// handed out in tenths of a second begins anew at least once. Eight streams keep the smallest gateway of today
+    /// busy, and 400 hold some 25 MB with their bodies.
+    fn default() -> Self {
+        Self {
+            target_lag: Duration::from_millis(10),
+            plain_lag: Duration::from_millis(60),
+            window: Duration::from_millis(200),
+            least: 8,
+            most: 400,
+        }
+    }
+}
+
+/// Part of the limit that remains after a window of overload, in thousandths.
+const FALL_PERMILLE: u32 = 850;
+
+/// Part of the limit by which it rises after a window without, in thousandths, while it is used.
+const RISE_PERMILLE: u32 = 60;
+
+/// Part of the limit that teams above an even share may fill, in thousandths; the rest is for the others.
+const SHARED_PERMILLE: u32 = 750;
+
+/// Says why a request is turned away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Overloaded {
+    /// Requests under way, and how many there may be.
+    pub running: u32,
+    /// Limit at the moment.
+    pub limit: u32,
+    /// Requests of the team under way.
+    pub team_running: u32,
+    /// Standing lag of the last whole window.
+    pub lag: Duration,
+}
+
+/// Limits the requests under way at one gateway.
+#[derive(Debug)]
+pub struct Overload {
+    rules: OverloadRules,
+    limit: u32,
+    running: u32,
+    teams: HashMap<Box<str>, u32>,
+    /// Most requests under way in this window.
+    used: u32,
+    /// Least lag in this window.
+    least_lag: Option<Duration>,
+    window_ends: Duration,
+    /// Standing lag of the last whole window.
+    lag: Duration,
+}
+
+impl Overload {
+    /// Starts at the greatest limit.
+    #[must_use]
+    pub fn new(rules: OverloadRules) -> Self {
+        Self {
+            limit: rules.most,
+            rules,
+            running: 0,
+            teams: HashMap::new(),
+            used: 0,
+            least_lag: None,
+            window_ends: rules.window,
+            lag: Duration::ZERO,
+        }
+    }
+
+    /// Notes how late a tick came.
+    pub fn ticked(&mut self, now: Duration, lag: Duration) {
+        self.least_lag = Some(self.least_lag.map_or(lag, |least| least.min(lag)));
+        if now < self.window_ends {
+            return;
+        }
+        self.lag = self.least_lag.take().unwrap_or_default();
+        self.window_ends = now + self.rules.window;
+        let (used, limit) = (self.used, self.limit);
+        self.used = self.running;
+        if self.is_short() {
+            // A limit far above what is under way would take many windows to bite.
+            let from = limit.min(used.max(self.rules.least));
+            self.limit = (from * FALL_PERMILLE / 1000).max(self.rules.least);
+        } else if used * 1000 >= limit * SHARED_PERMILLE {
+            let rise = (limit * RISE_PERMILLE / 1000).max(1);
+            self.limit = (limit + rise).min(self.rules.most);
+        }
+    }
+
+    /// Lets a request of a team begin, unless there is no room for it.
+    ///
+    /// # Errors
+    ///
+    /// Returns what there was no room for.
+    pub fn try_begin(&mut self, team: &str) -> Result<(), Overloaded> {
+        let team_running = self.teams.get(team).copied().unwrap_or_default();
+        let others = self.teams.len() - usize::from(team_running > 0);
+        let even = self.limit / u32::try_from(others + 1).unwrap_or(u32::MAX);
+        let shared = self.limit * SHARED_PERMILLE / 1000;
+        let is_below_share = team_running < even.max(1);
+        let room = if is_below_share { self.limit } else { shared };
+        if self.running >= room.max(1) {
+            return Err(Overloaded {
+                running: self.running,
+                limit: self.limit,
+                team_running,
+                lag: self.lag,
+            });
+        }
+        self.running += 1;
+        self.used = self.used.max(self.running);
+        if let Some(count) = self.teams.get_mut(team) {
+            *count += 1;
+        } else {
+            self.teams.insert(team.into(), 1);
+        }
+        Ok(())
+    }
+
+    /// Notes that a request that had begun has ended.
+    ///
+    /// # Panics
+    ///
+    /// Panics when no request of the team is under way, which is a broken invariant.
+    pub fn ended(&mut self, team: &str) {
+        self.running -= 1;
+        let count = self
+            .teams
+            .get_mut(team)
+            .expect("the team's request had begun");
+        *count -= 1;
+        if *count == 0 {
+            self.teams.remove(team);
+        }
+    }
+
+    /// Lets a plain request pass, unless the lag alone would make it late; it costs little and is over at once.
+    ///
+    /// # Errors
+    ///
+    /// Returns the lag.
+    pub fn check_plain(&self) -> Result<(), Overloaded> {
+        if self.lag <= self.rules.plain_lag {
+            return Ok(());
+        }
+        Err(Overloaded {
+            running: self.running,
+            limit: self.limit,
+            team_running: 0,
+            lag: self.lag,
+        })
+    }
+
+    /// Returns whether the last whole window was one of overload.
+    #[must_use]
+    pub fn is_short(&self) -> bool {
+        self.lag > self.rules.target_lag
+    }
+
+    /// Returns how many requests may be under way.
+    #[must_use]
+    pub fn limit(&self) -> u32 {
+        self.limit
+    }
+
+    /// Returns the standing lag of the last whole window.
+    #[must_use]
+    pub fn lag(&self) -> Duration {
+        self.lag
+    }
+}
--- /dev/null
+++ b/crates/routing/tests/overload.rs
@@ -0,0 +1,142 @@
+//! Replays overload of one gateway, in virtual time, on the decision which requests it turns away.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use hinge_cases::cases;
+use hinge_routing::{Overload, OverloadRules};
+
+const TICK_MS: u64 = 20;
+
+/// Models a gateway with a part of a core: it does what is ready in order of arrival, and a tick waits behind it.
+struct Gateway {
+    overload: Overload,
+    now_ms: u64,
+    /// Processor time that it has in a millisecond, in microseconds.
+    us_per_ms: u64,
+    /// Processor time that ready tasks need, in microseconds.
+    ready_us: u64,
+    /// Streams under way, with their teams and when they end.
+    streams: VecDeque<(u64, &'static str)>,
+    begun: Vec<&'static str>,
+    refused: Vec<&'static str>,
+    longest_lag_ms: u64,
+}
+
+/// Processor time of a refusal, a beginning, and a stream's events in a millisecond, in microseconds.
+const REFUSE_US: u64 = 60;
+const BEGIN_US: u64 = 500;
+const STREAM_US_PER_MS: u64 = 1;
+
+/// Duration of a stream.
+const STREAM_MS: u64 = 800;
+
+impl Gateway {
+    fn new(us_per_ms: u64) -> Self {
+        Self {
+            overload: Overload::new(OverloadRules::default()),
+            now_ms: 0,
+            us_per_ms,
+            ready_us: 0,
+            streams: VecDeque::new(),
+            begun: Vec::new(),
+            refused: Vec::new(),
+            longest_lag_ms: 0,
+        }
+    }
+
+    /// Runs for a time while each team asks once in so many milliseconds.
+    fn run(&mut self, for_ms: u64, teams: &[(&'static str, u64)]) {
+        for _ in 0..for_ms {
+            self.now_ms += 1;
+            for (team, every_ms) in teams {
+                if self.now_ms.is_multiple_of(*every_ms) {
+                    self.ask(team);
+                }
+            }
+            while self.streams.front().is_some_and(|(ends, _)| *ends <= self.now_ms) {
+                let (_, team) = self.streams.pop_front().expect("it was just seen");
+                self.overload.ended(team);
+            }
+            self.ready_us += self.streams.len() as u64 * STREAM_US_PER_MS;
+            self.ready_us = self.ready_us.saturating_sub(self.us_per_ms);
+            if self.now_ms.is_multiple_of(TICK_MS) {
+                let lag_ms = self.ready_us / self.us_per_ms;
+                self.longest_lag_ms = self.longest_lag_ms.max(lag_ms);
+                let now = Duration::from_millis(self.now_ms);
+                self.overload.ticked(now, Duration::from_millis(lag_ms));
+            }
+        }
+    }
+
+    fn ask(&mut self, team: &'static str) {
+        if self.overload.try_begin(team).is_ok() {
+            self.ready_us += BEGIN_US;
+            self.streams.push_back((self.now_ms + STREAM_MS, team));
+            self.begun.push(team);
+        } else {
+            self.ready_us += REFUSE_US;
+            self.refused.push(team);
+        }
+    }
+
+    fn count(list: &[&str], team: &str) -> usize {
+        list.iter().filter(|known| **known == team).count()
+    }
+}
+
+cases! {
+    ten_times_the_load_does_not_stop_a_gateway_from_serving => {
+        // A gateway with 0.09 of a core can begin some 100 streams a second, and a hot caller asks for 500.
+        let mut gateway = Gateway::new(90);
+        gateway.run(5_000, &[("hot", 2)]);
+        gateway.begun.clear();
+        gateway.longest_lag_ms = 0;
+        gateway.run(10_000, &[("hot", 2)]);
+        assert!(gateway.longest_lag_ms < 250, "{} ms", gateway.longest_lag_ms);
+        assert!(gateway.begun.len() > 300, "{} in ten seconds", gateway.begun.len());
+    }
+    a_small_team_is_served_beside_a_hot_one => {
+        let mut gateway = Gateway::new(90);
+        gateway.run(5_000, &[("hot", 2), ("small", 200)]);
+        (gateway.begun, gateway.refused) = (Vec::new(), Vec::new());
+        gateway.run(10_000, &[("hot", 2), ("small", 200)]);
+        let refused = Gateway::count(&gateway.refused, "small");
+        assert!(refused <= 5, "{refused} of 50 requests of the small team are turned away");
+    }
+    a_load_that_a_gateway_can_bear_is_never_turned_away => {
+        let mut gateway = Gateway::new(450);
+        gateway.run(20_000, &[("a", 10), ("b", 10), ("c", 20)]);
+        assert!(gateway.refused.is_empty());
+    }
+    a_gateway_takes_everything_again_once_the_load_is_over => {
+        let mut gateway = Gateway::new(90);
+        gateway.run(10_000, &[("hot", 2)]);
+        gateway.run(5_000, &[("a", 25)]);
+        gateway.refused.clear();
+        gateway.run(5_000, &[("a", 25)]);
+        assert!(gateway.refused.is_empty(), "{} are turned away", gateway.refused.len());
+    }
+    a_processor_in_slices_is_no_overload => {
+        // A quota that is used up holds everything for the rest of a tenth of a second; the next one begins on time.
+        let mut overload = Overload::new(OverloadRules::default());
+        let before = overload.limit();
+        for tick in 0..500 {
+            let lag_ms = if tick % 5 == 0 { 80 } else { 1 };
+            overload.ticked(Duration::from_millis(tick * 20), Duration::from_millis(lag_ms));
+        }
+        assert_eq!(overload.limit(), before);
+        assert!(overload.check_plain().is_ok());
+    }
+    plain_requests_pass_until_the_lag_itself_makes_them_late => {
+        let mut overload = Overload::new(OverloadRules::default());
+        for second in 1..=20 {
+            overload.ticked(Duration::from_secs(second), Duration::from_millis(40));
+        }
+        assert!(overload.check_plain().is_ok());
+        for second in 21..=40 {
+            overload.ticked(Duration::from_secs(second), Duration::from_millis(100));
+        }
+        assert!(overload.check_plain().is_err());
+    }
+}
