Pass on what is left of an answer that its engine has ended

Change: after that word the gateway waits twice 200 ms for bytes before it gives an answer up; they come into view with the first wait, however late it ends.

--- a/crates/daemon/src/roles/gateway.rs
+++ b/crates/daemon/src/roles/gateway.rs
@@ -14,6 +14,9 @@
 use crate::context::{Context, control_addresses};
 use crate::stop;
 
+/// Each of two waits for the rest of an answer that an engine no longer works on; a lost packet is sent again in it.
+const LOST_GRACE: Duration = Duration::from_millis(200);
+
 /// Runs a gateway until it is told to stop.
 pub(super) async fn run(context: Context) -> Result<ExitCode> {
     let Some(given) = context.settings.gateway.clone() else {
@@ -44,6 +47,7 @@
         },
         max_spill_tokens: given.max_spill_tokens,
         max_connections: given.max_connections,
+        lost_grace: LOST_GRACE,
     };
     let gateway = Gateway::bind(
         settings,
--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -30,11 +30,21 @@
 /// Wait before the load is asked for again.
 const LOAD_RETRY: Duration = Duration::from_millis(500);
 
+/// Says how the admissions are reached.
+#[derive(Debug, Clone)]
+pub(crate) struct Ways {
+    /// Their port, at the addresses of their engines.
+    pub(crate) port: u16,
+    pub(crate) client: Client,
+    /// Each of two waits for the rest of an answer that an engine no longer works on.
+    pub(crate) lost_grace: Duration,
+}
+
 /// Reaches the admission beside one endpoint.
 #[derive(Debug)]
 pub(crate) struct Admitter {
     address: Box<str>,
-    client: Client,
+    ways: Ways,
     skipped_until: Mutex<Option<Instant>>,
     feed: OnceLock<JoinHandle<()>>,
 }
@@ -55,18 +65,28 @@
 pub(crate) struct Place {
     /// Both directions stay open for as long as the request runs; their end gives the place back.
     exchange: Exchange,
+    /// Whether the admission has said that the engine does not run the request any more.
+    is_lost: bool,
+    lost_grace: Duration,
     pub(crate) waited_ms: u64,
     pub(crate) ahead_tokens: u32,
 }
 
 impl Place {
-    /// Waits until the admission says that the engine does not run the request any more.
+    /// Waits until the admission says that the engine does not run the request any more, and a while longer.
+    ///
+    /// The end of an answer may be here already: a gateway that is short of processor time reads it late, and an answer that
+    /// is ready is passed on. Its bytes come into view with the first of two waits, however late that ends.
     pub(crate) async fn lost(&mut self) {
-        match self.exchange.reader.next::<AdmitLost>().await {
-            Ok(Some(_lost)) => {}
-            // An admission that is gone says nothing about the request.
-            Ok(None) | Err(_) => std::future::pending().await,
+        if !self.is_lost {
+            match self.exchange.reader.next::<AdmitLost>().await {
+                Ok(Some(_lost)) => self.is_lost = true,
+                // An admission that is gone says nothing about the request.
+                Ok(None) | Err(_) => std::future::pending().await,
+            }
         }
+        sleep(self.lost_grace).await;
+        sleep(self.lost_grace).await;
     }
 
     /// Tells the admission that the prompt is read.
@@ -80,10 +100,10 @@
 }
 
 impl Admitter {
-    pub(crate) fn new(endpoint: SocketAddr, port: u16, client: Client) -> Self {
+    pub(crate) fn new(endpoint: SocketAddr, ways: Ways) -> Self {
         Self {
-            address: SocketAddr::new(endpoint.ip(), port).to_string().into(),
-            client,
+            address: SocketAddr::new(endpoint.ip(), ways.port).to_string().into(),
+            ways,
             skipped_until: Mutex::default(),
             feed: OnceLock::new(),
         }
@@ -102,7 +122,8 @@
     }
 
     async fn asked(&self, endpoint: &Endpoint, ask: &AdmitAsk) -> Option<Admitted> {
-        let opened = self.client.open(&self.address, ADMIT_PATH, OPEN_TIMEOUT);
+        let client = &self.ways.client;
+        let opened = client.open(&self.address, ADMIT_PATH, OPEN_TIMEOUT);
         let mut exchange = opened.await.ok()?;
         exchange.sender.send(ask).await.ok()?;
         let wait = Duration::from_millis(ask.budget_ms) + VERDICT_MARGIN;
@@ -115,6 +136,8 @@
         }
         Some(Admitted::Granted(Place {
             exchange,
+            is_lost: false,
+            lost_grace: self.ways.lost_grace,
             waited_ms: verdict.wait_ms,
             ahead_tokens: verdict.ahead_tokens,
         }))
@@ -142,7 +165,7 @@
     pub(crate) fn follow(&self, endpoint: &Arc<Endpoint>, engines: usize) {
         self.feed.get_or_init(|| {
             let feed = Feed {
-                client: self.client.clone(),
+                client: self.ways.client.clone(),
                 address: self.address.clone(),
                 endpoint: Arc::downgrade(endpoint),
                 interval: load_interval(engines),
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -4,13 +4,12 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use arc_swap::ArcSwap;
-use hinge_link::Client;
 use hinge_routing::Lookup;
 use hinge_schema::routing::{EndpointList, EndpointState, RouteTable};
 use hinge_telemetry::info;
 use hinge_telemetry::log::Part;
 
-use crate::admit::Admitter;
+use crate::admit::{Admitter, Ways};
 use crate::endpoint::Endpoint;
 
 /// Holds one moment's routes and endpoints.
@@ -42,12 +41,12 @@
     current: ArcSwap<Fleet>,
     writer: Mutex<()>,
     /// How to reach the admissions beside the endpoints; none where there are none.
-    admissions: Option<(u16, Client)>,
+    admissions: Option<Ways>,
 }
 
 impl Held {
     /// Creates an empty one.
-    pub(crate) fn new(admissions: Option<(u16, Client)>) -> Self {
+    pub(crate) fn new(admissions: Option<Ways>) -> Self {
         Self {
             current: ArcSwap::default(),
             writer: Mutex::default(),
@@ -85,8 +84,7 @@
 
     fn endpoint(&self, described: hinge_schema::routing::Endpoint) -> Endpoint {
         let admissions = self.admissions.as_ref();
-        let admitter = admissions
-            .map(|(port, client)| Admitter::new(described.address, *port, client.clone()));
+        let admitter = admissions.map(|ways| Admitter::new(described.address, ways.clone()));
         Endpoint::new(described, admitter)
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -27,6 +27,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::admit::Ways;
 use crate::connections::Connections;
 use crate::dialect::Dialect;
 use crate::fleet::Held;
@@ -68,6 +69,8 @@
     pub max_spill_tokens: u32,
     /// Connections of callers that are kept at once.
     pub max_connections: u32,
+    /// Each of two waits for the rest of an answer that an engine no longer works on.
+    pub lost_grace: Duration,
 }
 
 /// Holds what the requests of a gateway share.
@@ -148,9 +151,12 @@
         let ready_listener = TcpListener::bind(settings.ready_listen).await?;
         let address = listener.local_addr()?;
         let ready_address = ready_listener.local_addr()?;
-        let held = Arc::new(Held::new(
-            settings.admission_port.map(|port| (port, client.clone())),
-        ));
+        let admissions = settings.admission_port.map(|port| Ways {
+            port,
+            client: client.clone(),
+            lost_grace: settings.lost_grace,
+        });
+        let held = Arc::new(Held::new(admissions));
         let shared = Arc::new(Shared {
             dialect,
             held: Arc::clone(&held),
