Write log lines from a thread of their own, and drop those of ordinary work first

Requests that ended as unknown, broken off or timed out are written as warnings, so that they count as failures.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -29,7 +29,9 @@
         println!("The settings are valid.");
         return ExitCode::SUCCESS;
     }
-    match roles::run(&flags, settings) {
+    let ended = roles::run(&flags, settings);
+    hinge_telemetry::log::finish();
+    match ended {
         Ok(code) => code,
         Err(error) => {
             eprintln!("sequoiahinge: {error:#}");
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -5,8 +5,8 @@
 
 use hinge_routing::{Candidate, Prompt, choose};
 use hinge_schema::routing::{AdmitAsk, Route};
-use hinge_telemetry::info;
-use hinge_telemetry::log::Part;
+use hinge_telemetry::log::{Level, Part};
+use hinge_telemetry::record;
 use http::StatusCode;
 use smallvec::SmallVec;
 use tokio::time::Instant;
@@ -113,7 +113,13 @@
 
     /// Writes the line of the request's end.
     pub(crate) fn tell(&self, job: &Job, outcome: &str) {
-        info!(
+        // Lines of failures are the last ones that are dropped when nobody takes them.
+        let level = match outcome {
+            "unknown" | "broken_off" | "timed_out" => Level::Warn,
+            _ => Level::Info,
+        };
+        record!(
+            level,
             Part::Gateway,
             "Request.",
             id = job.outgoing.request_id.as_deref().unwrap_or("-"),
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -8,18 +8,23 @@
 //! ```
 
 use std::fmt::{Display, Write as _};
-use std::sync::Arc;
-use std::time::{Duration, UNIX_EPOCH};
+use std::io;
+use std::sync::{Arc, OnceLock};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use hinge_schema::settings::LogLevel;
 use spdlog::formatter::{Formatter, FormatterContext};
-use spdlog::sink::StdStreamSink;
-use spdlog::terminal_style::StyleMode;
+use spdlog::sink::WriteSink;
 use spdlog::{LevelFilter, Logger, Record, StringBuf};
 
+use crate::lines::{Lines, Weight};
+
 /// Longest text of one value, in bytes; what a caller sends may not fill the log.
 const MAX_VALUE_BYTES: usize = 512;
 
+/// Lines of this process; the logging library holds its logger in the same way, for the whole process.
+static LINES: OnceLock<Lines> = OnceLock::new();
+
 /// Names the part of the program that writes a record.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Part {
@@ -131,23 +136,44 @@
 ///
 /// # Panics
 ///
-/// Panics when the library refuses a sink for standard output, which it does for no setting used here.
+/// Panics when the system gives no thread, or the library refuses a sink, which it does for no setting used here.
 pub fn start(level: Level) {
-    let sink = StdStreamSink::builder()
-        .stdout()
-        .style_mode(StyleMode::Never)
-        .formatter(LineFormatter)
-        .build_arc()
-        .expect("a sink for standard output needs nothing that can fail");
+    let lines = LINES.get_or_init(|| Lines::spawn(io::stdout()));
+    let sink = |weight, levels| {
+        let sink = WriteSink::builder()
+            .target(lines.intake(weight))
+            .level_filter(levels)
+            .formatter(LineFormatter)
+            .build_arc();
+        sink.expect("a sink with a target needs nothing that can fail")
+    };
+    let failures = LevelFilter::MoreSevereEqual(spdlog::Level::Warn);
+    let ordinary = LevelFilter::MoreVerbose(spdlog::Level::Warn);
     let logger = Logger::builder()
-        .sink(sink)
+        .sink(sink(Weight::Failure, failures))
+        .sink(sink(Weight::Ordinary, ordinary))
         .level_filter(LevelFilter::MoreSevereEqual(level.inner()))
-        .flush_level_filter(LevelFilter::MoreSevereEqual(spdlog::Level::Warn))
         .build_arc()
         .expect("a logger without a name can't be refused");
     spdlog::set_default_logger(logger);
 }
 
+/// Writes the lines that are still kept; a process calls it before it exits.
+pub fn finish() {
+    if let Some(lines) = LINES.get() {
+        lines.finish();
+    }
+}
+
+/// Returns the line that tells how many lines were dropped.
+pub(crate) fn dropped_line(count: u64) -> String {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let pairs: &[Pair<'_>] = &[("count", &count)];
+    let text = body(Part::Daemon, "Dropped lines that nobody took in time.", pairs);
+    let level = Level::Warn.as_str();
+    line(since_epoch.unwrap_or_default(), level, &text) + "\n"
+}
+
 /// Writes one record; the macros of this crate call it.
 pub fn write(part: Part, level: Level, sentence: &str, pairs: &[Pair<'_>]) {
     let logger: Arc<Logger> = spdlog::default_logger();
