Keep a hot caller away for longer each time it comes back, and leave 24 streams in any case

Change: the time with room that is needed doubles with each return, 2 s to 16 s, and is forgotten after 30 s without; a gateway that refuses less than a fifth of what is asked stays in rotation; the least limit is 24.

--- a/crates/routing/src/overload.rs
+++ b/crates/routing/src/overload.rs
@@ -35,14 +35,14 @@
     ///
     /// 10 ms is a tenth of the pause that a stream bears on its way, and more than a tick of a busy but able process
     /// is late by; a plain request is worth serving until the lag is a large part of its 100 ms. In 200 ms a processor that is
-    /// handed out in tenths of a second begins anew at least once. Eight streams keep the smallest gateway of today
-    /// busy, and 400 hold some 25 MB with their bodies.
+    /// handed out in tenths of a second begins anew at least once. Some 24 streams are less than half of the smallest
+    /// gateway of today, beside as many refusals, and 400 hold some 25 MB with their bodies.
     fn default() -> Self {
         Self {
             target_lag: Duration::from_millis(10),
             plain_lag: Duration::from_millis(60),
             window: Duration::from_millis(200),
-            least: 8,
+            least: 24,
             most: 400,
         }
     }
@@ -57,13 +57,24 @@
 /// Part of the limit that teams above an even share may fill, in thousandths; the rest is for the others.
 const SHARED_PERMILLE: u32 = 750;
 
-/// Windows of overload in a row, with requests turned away, after which new connections are asked to go elsewhere.
+/// Windows in a row with many requests turned away, after which new connections are asked to go elsewhere.
 const FULL_AFTER_WINDOWS: u32 = 2;
 
-/// Windows in a row without overload, without refusals and with room, after which new connections are welcome again: two
-/// seconds, in which the balancer asks twice.
+/// Part of the requests of a window that must be turned away to count as many, in thousandths; a gateway that turns
+/// few away is where its callers are served best.
+const MANY_PERMILLE: u32 = 200;
+
+/// Windows in a row without overload, without refusals and with room, after which new connections are welcome again the
+/// first time: two seconds, in which the balancer asks twice.
 const ROOM_AFTER_WINDOWS: u32 = 10;
 
+/// Most windows of that kind. Callers are spread by a hash, so that a hot one comes back as soon as it may: each time
+/// it does, it has to stay away for twice as long.
+const LONGEST_ROOM_WINDOWS: u32 = 80;
+
+/// Windows without overload after which the first time counts again.
+const FORGET_AFTER_WINDOWS: u32 = 150;
+
 /// Part of the limit that may be in use when there is room, in thousandths.
 const ROOM_PERMILLE: u32 = 700;
 
@@ -94,11 +105,14 @@
     window_ends: Duration,
     /// Standing lag of the last whole window.
     lag: Duration,
-    /// Requests turned away in this window.
+    /// Requests that began, and that were turned away, in this window.
+    begun: u32,
     refused: u32,
     /// Windows in a row that were full, or had room.
     full_windows: u32,
     room_windows: u32,
+    /// Windows with room that are needed after the next time.
+    room_needed: u32,
     is_full: bool,
 }
 
@@ -115,9 +129,11 @@
             least_lag: None,
             window_ends: rules.window,
             lag: Duration::ZERO,
+            begun: 0,
             refused: 0,
             full_windows: 0,
             room_windows: 0,
+            room_needed: ROOM_AFTER_WINDOWS,
             is_full: false,
         }
     }
@@ -146,14 +162,19 @@
     /// Notes whether the last window was full or had room, and follows it after some windows in a row.
     fn note_window(&mut self, used: u32) {
         let refused = std::mem::take(&mut self.refused);
+        let asked = refused + std::mem::take(&mut self.begun);
         let has_room =
             !self.is_short() && refused == 0 && used * 1000 <= self.limit * ROOM_PERMILLE;
         self.room_windows = if has_room { self.room_windows + 1 } else { 0 };
-        self.full_windows = if refused > 0 { self.full_windows + 1 } else { 0 };
+        let are_many = refused > 0 && refused * 1000 >= asked * MANY_PERMILLE;
+        self.full_windows = if are_many { self.full_windows + 1 } else { 0 };
         if self.full_windows >= FULL_AFTER_WINDOWS {
             self.is_full = true;
-        } else if self.room_windows >= ROOM_AFTER_WINDOWS {
+        } else if self.is_full && self.room_windows >= self.room_needed {
             self.is_full = false;
+            self.room_needed = (self.room_needed * 2).min(LONGEST_ROOM_WINDOWS);
+        } else if self.room_windows >= FORGET_AFTER_WINDOWS {
+            self.room_needed = ROOM_AFTER_WINDOWS;
         }
     }
 
@@ -179,6 +200,7 @@
             });
         }
         self.running += 1;
+        self.begun += 1;
         self.used = self.used.max(self.running);
         if let Some(count) = self.teams.get_mut(team) {
             *count += 1;
