Ask callers to connect anew only once the balancer knows that a gateway is full

Cause: a connection that is closed before the balancer has asked twice is opened again at the same gateway, and costs more than a refusal on a kept one. Change: turned-away callers are asked to connect anew from two seconds after a gateway became full.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -230,7 +230,7 @@
         );
     }
     let mut response = refusal.response();
-    if matches!(refusal, Refusal::Overloaded(_)) && gateway.overload().is_full() {
+    if matches!(refusal, Refusal::Overloaded(_)) && gateway.overload().wants_anew() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
--- a/crates/routing/src/overload.rs
+++ b/crates/routing/src/overload.rs
@@ -75,6 +75,9 @@
 /// Windows without overload after which the first time counts again.
 const FORGET_AFTER_WINDOWS: u32 = 150;
 
+/// Windows after which the balancer knows that a gateway is full: it asks once a second, and believes the second answer.
+const BALANCER_WINDOWS: u32 = 10;
+
 /// Part of the limit that may be in use when there is room, in thousandths.
 const ROOM_PERMILLE: u32 = 700;
 
@@ -114,6 +117,8 @@
     /// Windows with room that are needed after the next time.
     room_needed: u32,
     is_full: bool,
+    /// Windows since it became full.
+    windows_full: u32,
 }
 
 impl Overload {
@@ -135,6 +140,7 @@
             room_windows: 0,
             room_needed: ROOM_AFTER_WINDOWS,
             is_full: false,
+            windows_full: 0,
         }
     }
 
@@ -168,6 +174,7 @@
         self.room_windows = if has_room { self.room_windows + 1 } else { 0 };
         let are_many = refused > 0 && refused * 1000 >= asked * MANY_PERMILLE;
         self.full_windows = if are_many { self.full_windows + 1 } else { 0 };
+        self.windows_full = if self.is_full { self.windows_full + 1 } else { 0 };
         if self.full_windows >= FULL_AFTER_WINDOWS {
             self.is_full = true;
         } else if self.is_full && self.room_windows >= self.room_needed {
@@ -250,12 +257,25 @@
         self.lag > self.rules.target_lag
     }
 
+    /// Returns whether a limit is in force and half of it is used, so that each saved step makes room for a request.
+    #[must_use]
+    pub fn is_pressed(&self) -> bool {
+        self.limit < self.rules.most && self.running * 2 >= self.limit
+    }
+
     /// Returns whether callers should connect to other gateways.
     #[must_use]
     pub fn is_full(&self) -> bool {
         self.is_full
     }
 
+    /// Returns whether callers that are turned away should connect anew: the balancer knows by then that this gateway is
+    /// full, and a connection before that would come back here.
+    #[must_use]
+    pub fn wants_anew(&self) -> bool {
+        self.windows_full >= BALANCER_WINDOWS
+    }
+
     /// Returns how many requests may be under way.
     #[must_use]
     pub fn limit(&self) -> u32 {
