Take back the gathering of events where processor time is short

Tried: after an event was passed on at a gateway whose limit is in force and half used, it waited 60 ms before it read on.

--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
 use crate::attempt::Answer;
 use crate::body::{BrokenOff, PieceSender};
@@ -17,10 +17,6 @@
 /// one that doesn't.
 const OVERTIME: Duration = Duration::from_millis(100);
 
-/// Time for which events are gathered where processor time is short: two or three of them, since engines make one each 26 ms
-/// and more. It is half of the time that an event may take on its way, and less than the pause that callers bear.
-const GATHER: Duration = Duration::from_millis(60);
-
 /// Says how a stream ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Ended {
@@ -122,13 +118,6 @@
         if pieces.send(Ok(piece)).await.is_err() {
             return Ended::CallerLeft;
         }
-        if splitter.is_some() && job.gateway.overload().is_pressed() {
-            // What comes meanwhile is passed on at once.
-            tokio::select! {
-                () = pieces.closed() => return Ended::CallerLeft,
-                () = sleep(GATHER) => {}
-            }
-        }
     }
     // An end in the middle of an event is none.
     if splitter.is_some_and(|splitter| splitter.is_inside()) {
--- a/crates/routing/src/overload.rs
+++ b/crates/routing/src/overload.rs
@@ -257,12 +257,6 @@
         self.lag > self.rules.target_lag
     }
 
-    /// Returns whether a limit is in force and half of it is used, so that each saved step makes room for a request.
-    #[must_use]
-    pub fn is_pressed(&self) -> bool {
-        self.limit < self.rules.most && self.running * 2 >= self.limit
-    }
-
     /// Returns whether callers should connect to other gateways.
     #[must_use]
     pub fn is_full(&self) -> bool {
