Write log lines in pieces that a pipe takes whole

Cause: gathered lines were written in one piece, and what read them kept half of some: lines that end at outcome=ove. Change: pieces of at most 4,096 bytes that end with a line. Test: lines_are_written_in_pieces_that_a_pipe_takes_whole.

--- a/crates/telemetry/src/lines.rs
+++ b/crates/telemetry/src/lines.rs
@@ -12,6 +12,9 @@
 /// Time for which lines are gathered; a process that is killed loses those of its last moment.
 const GATHER: Duration = Duration::from_millis(100);
 
+/// Bytes that are written at once: what a pipe takes in one step (`PIPE_BUF` of Linux).
+const PIECE_BYTES: usize = 4096;
+
 /// Longest wait for the output at the end of a process; a planned stop must not hang on who reads its lines.
 const FINISH: Duration = Duration::from_millis(500);
 
@@ -148,7 +151,7 @@
             bytes.extend_from_slice(told.as_bytes());
         }
         // Nobody reads an output that fails, and there is no other place to say so.
-        let _written = output.write_all(&bytes).and_then(|()| output.flush());
+        let _written = write_whole_lines(&mut output, &bytes);
         if is_ended {
             shared.lock().is_written = true;
             shared.changed.notify_all();
@@ -156,3 +159,18 @@
         }
     }
 }
+
+/// Writes lines in pieces that a pipe takes whole or not at all, so that a reader who is full gets no half of a line.
+fn write_whole_lines(output: &mut impl Write, lines: &[u8]) -> io::Result<()> {
+    let mut left = lines;
+    while !left.is_empty() {
+        let end = left.len().min(PIECE_BYTES);
+        let last_line_end = left[..end].iter().rposition(|byte| *byte == b'\n');
+        let next_line_end = || left.iter().position(|byte| *byte == b'\n');
+        let end = last_line_end.or_else(next_line_end).map_or(left.len(), |end| end + 1);
+        let (piece, rest) = left.split_at(end);
+        output.write_all(piece)?;
+        left = rest;
+    }
+    output.flush()
+}
--- a/crates/telemetry/tests/lines.rs
+++ b/crates/telemetry/tests/lines.rs
@@ -60,6 +60,22 @@
         assert_eq!(kept + dropped, 20_000);
         assert!(kept < 6_000, "{kept} lines are kept: memory is not bounded");
     }
+    lines_are_written_in_pieces_that_a_pipe_takes_whole => {
+        let (lines, let_take, seen) = blocked();
+        put(&lines, Weight::Ordinary, &"x".repeat(5_000));
+        put(&lines, Weight::Ordinary, "\n");
+        for _ in 0..100 {
+            put(&lines, Weight::Ordinary, LINE);
+        }
+        for _ in 0..100 {
+            let _taken = let_take.send(());
+        }
+        lines.finish();
+        let pieces: Vec<String> = seen.iter().collect();
+        assert!(pieces.len() > 2);
+        assert!(pieces.iter().all(|piece| piece.ends_with('\n')));
+        assert!(pieces.iter().all(|piece| piece.len() <= 4096 || piece.len() == 5_001));
+    }
     lines_are_written_whole_and_in_order_before_the_end => {
         let (lines, let_take, seen) = blocked();
         for number in 0..100 {
