Tell far gateways loads half as often, and leave out the use of small teams

Change: an engine tells gateways in other data centres its load at twice the interval, and teams below a 64th of the largest use are left out; the queue's steps are an eighth of it.

--- a/crates/admission/src/serve.rs
+++ b/crates/admission/src/serve.rs
@@ -41,6 +41,9 @@
 /// Messages of the load between two that tell the teams' use.
 const TEAMS_EVERY: u32 = 4;
 
+/// Part of the largest use below which a team's is not told: an eighth of the steps in which the queue tells teams apart.
+const SMALL_PART: f64 = 64.0;
+
 #[derive(Debug)]
 struct State {
     admission: Admission,
@@ -409,7 +412,15 @@
     let now = shared.began.elapsed();
     let state = shared.lock();
     let load = state.admission.load();
-    let teams = state.admission.usage().teams(now).filter(|_| with_teams);
+    let usage = state.admission.usage();
+    let most = usage
+        .teams(now)
+        .map(|(_, tokens)| tokens)
+        .fold(0.0, f64::max);
+    let told = usage
+        .teams(now)
+        .filter(|(_, tokens)| *tokens >= most / SMALL_PART);
+    let teams = told.filter(|_| with_teams);
     EngineLoad {
         running: load.running,
         unread_tokens: load.unread_tokens,
--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -162,13 +162,13 @@
     }
 
     /// Follows the load for as long as the endpoint is known, one of some engines; the first call starts it.
-    pub(crate) fn follow(&self, endpoint: &Arc<Endpoint>, engines: usize) {
+    pub(crate) fn follow(&self, endpoint: &Arc<Endpoint>, engines: usize, data_center: &str) {
         self.feed.get_or_init(|| {
             let feed = Feed {
                 client: self.ways.client.clone(),
                 address: self.address.clone(),
                 endpoint: Arc::downgrade(endpoint),
-                interval: load_interval(engines),
+                interval: load_interval(engines, endpoint.is_in(data_center)),
             };
             tokio::spawn(feed.run())
         });
--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -77,6 +77,10 @@
         !self.is_draining() && self.lock().standing.is_open(self.began.elapsed())
     }
 
+    pub(crate) fn is_in(&self, data_center: &str) -> bool {
+        *self.described.data_center == *data_center
+    }
+
     /// Describes it for the choice, with the age of its load in milliseconds.
     pub(crate) fn candidate(&self, data_center: &str) -> (Candidate, u128) {
         let known = self.lock();
@@ -88,7 +92,7 @@
                 running: load.running,
                 slots: self.described.slots,
                 unread_tokens: load.unread_tokens + load.waiting_tokens + known.since_engine,
-                is_near: *self.described.data_center == *data_center,
+                is_near: self.is_in(data_center),
             };
             return (candidate, told_at.elapsed().as_millis());
         }
@@ -108,7 +112,7 @@
             running,
             slots: self.described.slots,
             unread_tokens: known.unread_tokens,
-            is_near: *self.described.data_center == *data_center,
+            is_near: self.is_in(data_center),
         };
         (candidate, age)
     }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -262,7 +262,7 @@
             return Admitted::Unasked;
         }
         let engines = self.fleet.of_service(&self.service).len();
-        admitter.follow(endpoint, engines);
+        admitter.follow(endpoint, engines, &self.gateway.data_center);
         endpoint.asks(prompt.own_tokens());
         let (shared_key, shared_tokens) = prompt.shared_key().unwrap_or_default();
         // A stream that goes on elsewhere, or was refused there, has used up some of its time.
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -57,7 +57,11 @@
             );
         }
         if was_short && !is_short {
-            info!(Part::Gateway, "Processor time suffices again.", limit = limit);
+            info!(
+                Part::Gateway,
+                "Processor time suffices again.",
+                limit = limit
+            );
         }
         was_short = is_short;
     }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -44,7 +44,9 @@
         match self {
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoTeam => StatusCode::UNAUTHORIZED,
-            Self::NoTable | Self::NotRun { .. } | Self::Overloaded(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoTable | Self::NotRun { .. } | Self::Overloaded(_) => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BadBody => StatusCode::BAD_REQUEST,
             Self::Unknown => StatusCode::BAD_GATEWAY,
--- a/crates/routing/src/feed.rs
+++ b/crates/routing/src/feed.rs
@@ -17,10 +17,15 @@
 /// Longest time between two messages of one engine, a third of the age up to which a load is used.
 const LONGEST: Duration = Duration::from_millis(500);
 
-/// Returns the shortest time between two messages of the load of each of some engines.
+/// How many times as long the time is for an engine in another data centre: its messages cross the links that are dear,
+/// and it is the choice for fewer requests.
+const FAR_TIMES: u32 = 2;
+
+/// Returns the shortest time between two messages of the load of each of some engines, to a gateway that is near or not.
 #[must_use]
-pub fn load_interval(engines: usize) -> Duration {
+pub fn load_interval(engines: usize, is_near: bool) -> Duration {
     let engines = u32::try_from(engines).unwrap_or(u32::MAX);
     let even = Duration::from_secs(1).saturating_mul(engines) / MESSAGES_PER_S;
-    even.clamp(SHORTEST, LONGEST)
+    let times = if is_near { 1 } else { FAR_TIMES };
+    (even * times).clamp(SHORTEST, LONGEST)
 }
--- a/crates/routing/src/overload.rs
+++ b/crates/routing/src/overload.rs
@@ -174,7 +174,11 @@
         self.room_windows = if has_room { self.room_windows + 1 } else { 0 };
         let are_many = refused > 0 && refused * 1000 >= asked * MANY_PERMILLE;
         self.full_windows = if are_many { self.full_windows + 1 } else { 0 };
-        self.windows_full = if self.is_full { self.windows_full + 1 } else { 0 };
+        self.windows_full = if self.is_full {
+            self.windows_full + 1
+        } else {
+            0
+        };
         if self.full_windows >= FULL_AFTER_WINDOWS {
             self.is_full = true;
         } else if self.is_full && self.room_windows >= self.room_needed {
--- a/crates/routing/tests/overload.rs
+++ b/crates/routing/tests/overload.rs
@@ -54,7 +54,11 @@
                     self.ask(team);
                 }
             }
-            while self.streams.front().is_some_and(|(ends, _)| *ends <= self.now_ms) {
+            while self
+                .streams
+                .front()
+                .is_some_and(|(ends, _)| *ends <= self.now_ms)
+            {
                 let (_, team) = self.streams.pop_front().expect("it was just seen");
                 self.overload.ended(team);
             }
--- a/crates/telemetry/src/lines.rs
+++ b/crates/telemetry/src/lines.rs
@@ -92,7 +92,10 @@
         kept.is_ended = true;
         self.shared.changed.notify_all();
         let is_left = |kept: &mut Kept| !kept.is_written;
-        let written = self.shared.changed.wait_timeout_while(kept, FINISH, is_left);
+        let written = self
+            .shared
+            .changed
+            .wait_timeout_while(kept, FINISH, is_left);
         // What an output does not take by now is lost with the process.
         drop(written);
     }
@@ -167,7 +170,9 @@
         let end = left.len().min(PIECE_BYTES);
         let last_line_end = left[..end].iter().rposition(|byte| *byte == b'\n');
         let next_line_end = || left.iter().position(|byte| *byte == b'\n');
-        let end = last_line_end.or_else(next_line_end).map_or(left.len(), |end| end + 1);
+        let end = last_line_end
+            .or_else(next_line_end)
+            .map_or(left.len(), |end| end + 1);
         let (piece, rest) = left.split_at(end);
         output.write_all(piece)?;
         left = rest;
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -169,7 +169,11 @@
 pub(crate) fn dropped_line(count: u64) -> String {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
     let pairs: &[Pair<'_>] = &[("count", &count)];
-    let text = body(Part::Daemon, "Dropped lines that nobody took in time.", pairs);
+    let text = body(
+        Part::Daemon,
+        "Dropped lines that nobody took in time.",
+        pairs,
+    );
     let level = Level::Warn.as_str();
     line(since_epoch.unwrap_or_default(), level, &text) + "\n"
 }
--- a/crates/telemetry/tests/lines.rs
+++ b/crates/telemetry/tests/lines.rs
@@ -33,7 +33,9 @@
 
 fn put(lines: &Lines, weight: Weight, line: &str) {
     let mut intake = lines.intake(weight);
-    intake.write_all(line.as_bytes()).expect("a line is never refused");
+    intake
+        .write_all(line.as_bytes())
+        .expect("a line is never refused");
 }
 
 const LINE: &str = "an ordinary line of some hundred bytes, as a gateway writes one for each request that it has served\n";
