Hear a gateway on after the word that its request is lost

Cause: an admission's exchange polled the word of the loss again after it had come, and panicked (called after complete); its task ended, and the gateway's further notes went unheard. Change: the word is waited for once.

The class that starts processes moves to hinge-fakes, for both users of it.

--- a/crates/admission/src/serve.rs
+++ b/crates/admission/src/serve.rs
@@ -288,6 +288,8 @@
     if sender.send(&verdict).await.is_err() || matches!(decided, Decision::Refuse { .. }) {
         return;
     }
+    // The word of the loss comes once; the gateway may go on after it.
+    let mut is_running = true;
     loop {
         tokio::select! {
             note = reader.next::<AdmitNote>() => match note {
@@ -296,7 +298,11 @@
                 }
                 Ok(None) | Err(_) => return,
             },
-            Ok(missing) = &mut is_lost => {
+            missing = &mut is_lost, if is_running => {
+                is_running = false;
+                let Ok(missing) = missing else {
+                    continue;
+                };
                 info!(
                     Part::Admission,
                     "The engine does not run a request any more.",
--- a/crates/daemon/tests/processes/caller.rs
+++ b/crates/daemon/tests/processes/caller.rs
@@ -13,7 +13,7 @@
 
 use hinge_fakes::stand_in::StandIn;
 
-use crate::fleet::{LONGEST_STEP, POLL};
+use crate::process::{LONGEST_STEP, POLL};
 
 /// Names a request that may run once only.
 pub(crate) const IDEMPOTENCY_KEY: &str = "idempotency-key";
--- a/crates/daemon/tests/processes/fleet.rs
+++ b/crates/daemon/tests/processes/fleet.rs
@@ -6,7 +6,6 @@
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU16, AtomicU32, Ordering};
-use std::time::Duration;
 
 use hinge_config::folder;
 use hinge_fakes::stand_in::{StandIn, StandInSettings};
@@ -15,12 +14,7 @@
 use tempfile::TempDir;
 
 use crate::operator::Operator;
-use crate::process::Process;
-
-/// Far longer than any step takes; a test that runs into it has failed.
-pub(crate) const LONGEST_STEP: Duration = Duration::from_mins(1);
-
-pub(crate) const POLL: Duration = Duration::from_millis(20);
+use crate::process::{self, LONGEST_STEP, Process};
 
 /// Below the ports that the system gives out by itself.
 const FIRST_PORT: u16 = 10_000;
@@ -190,7 +184,7 @@
             self.path("cluster.key").display()
         );
         fs::write(&file, format!("{head}{settings}")).expect("the settings can be written");
-        Process::spawn(role, file)
+        process::spawn(role, file)
     }
 
     /// Returns the settings of an entry or a sidecar; its address outlives a restart.
--- a/crates/daemon/tests/processes/operator.rs
+++ b/crates/daemon/tests/processes/operator.rs
@@ -8,7 +8,7 @@
     Apply, ApplyReply, AskFolder, AskStatus, ConfigFile, FolderReply, Status, StatusReply,
 };
 
-use crate::fleet::{LONGEST_STEP, POLL};
+use crate::process::{LONGEST_STEP, POLL};
 
 /// Longest wait for one answer; a frozen instance gives none.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
--- a/crates/daemon/tests/processes/reload.rs
+++ b/crates/daemon/tests/processes/reload.rs
@@ -4,7 +4,7 @@
 
 use hinge_cases::async_cases;
 
-use crate::process::Process;
+use crate::process::{self, Process};
 
 /// Returns a loopback address that was free a moment ago.
 fn free_address() -> String {
@@ -23,7 +23,7 @@
             "instance = \"gateway-1\"\n{HEAD}control_addresses = [\"{control}\"]\n\n[gateway]\nlisten = \"127.0.0.1:0\"\nready_listen = \"127.0.0.1:0\"\n"
         );
         fs::write(&path, text("127.0.0.1:1")).expect("the settings can be written");
-        let mut gateway = Process::spawn("gateway", path.clone());
+        let mut gateway = process::spawn("gateway", path.clone());
         gateway.logged("[gateway] Listening.").await;
         gateway.hang_up();
         gateway.logged("Reloaded settings without a change.").await;
@@ -46,7 +46,7 @@
                 addresses[number], data.display()
             );
             fs::write(&path, text).expect("the settings can be written");
-            Process::spawn("control", path)
+            process::spawn("control", path)
         };
         let mut control: Vec<Process> = (0..3).map(|number| start(number, &format!("data-{number}"), true)).collect();
         for instance in &mut control {
--- /dev/null
+++ b/crates/fakes/src/process.rs
@@ -0,0 +1,251 @@
+//! Starts, watches and kills one process of the daemon, by its id.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{ExitStatus, Stdio};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Uri;
+use http_body_util::{BodyExt, Empty};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::{Child, Command};
+use tokio::sync::watch;
+
+/// Far longer than any step takes; a test that runs into it has failed.
+pub const LONGEST_STEP: Duration = Duration::from_mins(1);
+
+/// Time between two looks at a condition.
+pub const POLL: Duration = Duration::from_millis(20);
+
+/// Holds one running process and what it logged.
+#[derive(Debug)]
+pub struct Process {
+    binary: PathBuf,
+    role: String,
+    settings: PathBuf,
+    child: Child,
+    log: watch::Receiver<String>,
+}
+
+impl Process {
+    /// Starts the daemon's binary with a role and a settings file.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the binary does not start.
+    #[must_use]
+    pub fn spawn(binary: &Path, role: &str, settings: PathBuf) -> Self {
+        let mut child = Command::new(binary)
+            .arg(role)
+            .arg("--settings")
+            .arg(&settings)
+            .stdout(Stdio::piped())
+            .stdin(Stdio::null())
+            .kill_on_drop(true)
+            .spawn()
+            .expect("the binary starts");
+        let (sender, log) = watch::channel(String::new());
+        let mut lines = BufReader::new(child.stdout.take().expect("stdout is piped")).lines();
+        tokio::spawn(async move {
+            while let Ok(Some(line)) = lines.next_line().await {
+                sender.send_modify(|log| {
+                    log.push_str(&line);
+                    log.push('\n');
+                });
+            }
+        });
+        Self {
+            binary: binary.into(),
+            role: role.to_owned(),
+            settings,
+            child,
+            log,
+        }
+    }
+
+    /// Starts the process again, with the settings that it had and an empty log.
+    pub fn restart(&mut self) {
+        *self = Self::spawn(&self.binary, &self.role, self.settings.clone());
+    }
+
+    /// Kills the process, and starts it again.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the process can't be killed.
+    pub async fn kill_and_restart(&mut self) {
+        self.kill().await;
+        self.restart();
+    }
+
+    /// Waits until this version of the configuration is in force.
+    ///
+    /// # Panics
+    ///
+    /// Panics when it does not come into force in time.
+    pub async fn in_force(&mut self, version: u64) {
+        self.logged(&format!("Configuration is in force. version={version}\n"))
+            .await;
+    }
+
+    /// Returns the versions that came into force since the process started, in their order.
+    ///
+    /// # Panics
+    ///
+    /// Panics when a record names no version.
+    pub fn versions(&self) -> Vec<u64> {
+        let log = self.log.borrow();
+        let records = log.split("Configuration is in force. version=").skip(1);
+        let versions = records.map(|rest| rest.lines().next().and_then(|text| text.parse().ok()));
+        versions
+            .collect::<Option<_>>()
+            .expect("a record names its version")
+    }
+
+    /// Waits until a metric, named with its labels, has a value that fits.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the metric never fits.
+    pub async fn until_metric(&mut self, name: &str, fits: impl Fn(u64) -> bool) {
+        let admin = self.address_after("[admin] Listening. address=").await;
+        let http = Client::builder(TokioExecutor::new()).build_http::<Empty<Bytes>>();
+        let page: Uri = format!("http://{admin}/metrics")
+            .parse()
+            .expect("an address makes a URI");
+        let mut last = String::new();
+        let fitting = async {
+            loop {
+                let response = http.get(page.clone()).await.expect("the page is served");
+                let body = response.into_body().collect().await;
+                let body = body.expect("the page is whole").to_bytes();
+                last = String::from_utf8_lossy(&body).into_owned();
+                let value = last.lines().find_map(|line| line.strip_prefix(name));
+                let value = value.and_then(|value| value.trim().parse().ok());
+                if value.is_some_and(&fits) {
+                    return;
+                }
+                tokio::time::sleep(POLL).await;
+            }
+        };
+        let is_met = tokio::time::timeout(LONGEST_STEP, fitting).await.is_ok();
+        assert!(
+            is_met,
+            "the metric `{name}` never fitted; the page is:\n{last}"
+        );
+    }
+
+    /// Waits for a text in the log.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the text never comes.
+    pub async fn logged(&mut self, text: &str) {
+        let mut log = self.log.clone();
+        let found = tokio::time::timeout(LONGEST_STEP, log.wait_for(|log| log.contains(text)));
+        let is_found = matches!(found.await, Ok(Ok(_)));
+        assert!(
+            is_found,
+            "`{text}` was never logged; the log is:\n{}",
+            *self.log.borrow()
+        );
+    }
+
+    /// Returns whether a text is in the log by now.
+    #[must_use]
+    pub fn has_logged(&self, text: &str) -> bool {
+        self.log.borrow().contains(text)
+    }
+
+    /// Returns what the process has logged so far, behind its role.
+    #[must_use]
+    pub fn log(&self) -> String {
+        format!(
+            "{} {}\n{}",
+            self.role,
+            self.settings.display(),
+            *self.log.borrow()
+        )
+    }
+
+    /// Returns the address that follows a text in the log.
+    ///
+    /// # Panics
+    ///
+    /// Panics when no address follows.
+    pub async fn address_after(&mut self, text: &str) -> SocketAddr {
+        self.logged(text).await;
+        let log = self.log.borrow();
+        let rest = log.split(text).nth(1).expect("the text was just found");
+        let address = rest.split_whitespace().next().expect("an address follows");
+        address.parse().expect("an address follows")
+    }
+
+    /// Asks the process to stop as planned.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the process has ended.
+    pub fn terminate(&self) {
+        self.signal("TERM");
+    }
+
+    /// Asks the process to read its settings again.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the process has ended.
+    pub fn hang_up(&self) {
+        self.signal("HUP");
+    }
+
+    /// Stops the process without its knowledge, as a frozen instance.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the process has ended.
+    pub fn freeze(&self) {
+        self.signal("STOP");
+    }
+
+    /// Lets a frozen process go on.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the process has ended.
+    pub fn thaw(&self) {
+        self.signal("CONT");
+    }
+
+    /// Kills the process at once.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the process can't be killed.
+    pub async fn kill(&mut self) {
+        self.child.kill().await.expect("the process can be killed");
+    }
+
+    /// Waits until the process has ended by itself.
+    ///
+    /// # Panics
+    ///
+    /// Panics when it does not end in time.
+    pub async fn ended(&mut self) -> ExitStatus {
+        let ended = tokio::time::timeout(LONGEST_STEP, self.child.wait()).await;
+        ended
+            .expect("the process ends in time")
+            .expect("its status can be read")
+    }
+
+    fn signal(&self, name: &str) {
+        let pid = self.child.id().expect("the process runs").to_string();
+        let sent = std::process::Command::new("kill")
+            .args([&format!("-{name}"), &pid])
+            .status();
+        assert!(sent.expect("kill runs").success());
+    }
+}
