Pass each piece of an answer on by itself again

Cause: joining what has come together takes a turn of the run queue for each piece, and where processor time is short that turn is long.

--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -3,11 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use futures::FutureExt;
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::task::yield_now;
 use tokio::time::{Instant, timeout_at};
 
 use crate::attempt::Answer;
@@ -19,9 +17,6 @@
 /// one that doesn't.
 const OVERTIME: Duration = Duration::from_millis(100);
 
-/// Bytes that are joined at most; one event has some hundred.
-const JOINED_BYTES: usize = 16 * 1024;
-
 /// Says how a stream ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Ended {
@@ -91,22 +86,15 @@
     } = *answer;
     let mut body = response.into_body();
     let mut has_begun = false;
-    let mut ahead = None;
     let may_go_on = splitter.is_some() && job.outgoing.may_go_on;
     let ends_at = job.outgoing.ends_at + OVERTIME;
     loop {
         let next = tokio::select! {
             biased;
             () = pieces.closed() => return Ended::CallerLeft,
-            next = next_or(&mut ahead, &mut body, ends_at) => next,
+            next = next_piece(&mut body, ends_at) => next,
             () = in_use.lost(), if may_go_on => return Ended::Broken,
         };
-        let next = match next {
-            Piece::Data(data) => {
-                Piece::Data(join_ready(data, &mut ahead, &mut body, ends_at).await)
-            }
-            other => other,
-        };
         let piece = match next {
             Piece::Data(data) => match splitter.as_mut() {
                 Some(splitter) => match splitter.push(&data) {
@@ -147,41 +135,6 @@
     TimedOut,
 }
 
-/// Returns the piece that was read ahead, or the next one.
-async fn next_or(ahead: &mut Option<Piece>, body: &mut Incoming, ends_at: Instant) -> Piece {
-    match ahead.take() {
-        Some(piece) => piece,
-        None => next_piece(body, ends_at).await,
-    }
-}
-
-/// Joins a piece with those that have come with it, so that they go out in one step, and its end with them.
-async fn join_ready(
-    first: Bytes,
-    ahead: &mut Option<Piece>,
-    body: &mut Incoming,
-    ends_at: Instant,
-) -> Bytes {
-    let mut joined: Option<BytesMut> = None;
-    loop {
-        // The connection's task puts the next piece of what it has read there in its turn.
-        yield_now().await;
-        let Some(next) = next_piece(body, ends_at).now_or_never() else {
-            break;
-        };
-        let Piece::Data(data) = next else {
-            *ahead = Some(next);
-            break;
-        };
-        let so_far = joined.get_or_insert_with(|| BytesMut::from(&first[..]));
-        so_far.extend_from_slice(&data);
-        if so_far.len() >= JOINED_BYTES {
-            break;
-        }
-    }
-    joined.map_or(first, BytesMut::freeze)
-}
-
 async fn next_piece(body: &mut Incoming, ends_at: Instant) -> Piece {
     loop {
         return match timeout_at(ends_at, body.frame()).await {
