Count a gateway as full when it turns away six in ten

Cause: a hot caller moves on from a gateway with 0.32 of a core that serves more than half of it, to one with 0.09 that serves a fifth. Change: the part that must be turned away rises from two to six in ten.

--- a/crates/routing/src/overload.rs
+++ b/crates/routing/src/overload.rs
@@ -60,9 +60,9 @@
 /// Windows in a row with many requests turned away, after which new connections are asked to go elsewhere.
 const FULL_AFTER_WINDOWS: u32 = 2;
 
-/// Part of the requests of a window that must be turned away to count as many, in thousandths; a gateway that turns
-/// few away is where its callers are served best.
-const MANY_PERMILLE: u32 = 200;
+/// Part of the requests of a window that must be turned away to count as many, in thousandths. A gateway that serves the
+/// larger part is where its callers are served best: the next one may have a third of its processor time.
+const MANY_PERMILLE: u32 = 600;
 
 /// Windows in a row without overload, without refusals and with room, after which new connections are welcome again the
 /// first time: two seconds, in which the balancer asks twice.
