--- a/crates/routing/src/overload.rs
+++ b/crates/routing/src/overload.rs
@@ -36,14 +36,14 @@
     /// 10 ms is a tenth of the pause that a stream bears on its way, and more than a tick of a busy but able process
     /// is late by; a plain request is worth serving until the lag is a large part of its 100 ms. In 200 ms a processor that is
     /// handed out in tenths of a second begins anew at least once. Some 24 streams are less than half of the smallest
-    /// gateway of today, beside as many refusals, and 400 hold some 25 MB with their bodies.
+    /// gateway of today, beside as many refusals, and 700 hold some 40 MB with their bodies.
     fn default() -> Self {
         Self {
             target_lag: Duration::from_millis(10),
             plain_lag: Duration::from_millis(60),
             window: Duration::from_millis(200),
             least: 24,
-            most: 400,
+            most: 700,
         }
     }
 }
