Wait in two tests until the lines before a moment are written

Change: the tests ask the process to read its settings again and wait for that line; lines are written in their order, so that all before it are there. What they check is as before; a step back in the last moment would be seen as well.

--- a/crates/daemon/tests/processes/configuration.rs
+++ b/crates/daemon/tests/processes/configuration.rs
@@ -110,7 +110,7 @@
         started.sidecars[0].thaw();
         started.in_force(next).await;
         assert_new_team_is_served(&mut started).await;
-        started.assert_versions_rose();
+        started.assert_versions_rose().await;
     }
 
     hundreds_of_changes_outlive_the_restart_of_every_process => {
@@ -122,7 +122,7 @@
         }
         assert_eq!(version, started.version + 1 + MANY);
         started.in_force(version).await;
-        started.assert_versions_rose();
+        started.assert_versions_rose().await;
         started.restart_all().await;
         started.in_force(version).await;
         for idx in 0..3 {
--- a/crates/daemon/tests/processes/started.rs
+++ b/crates/daemon/tests/processes/started.rs
@@ -65,8 +65,11 @@
     }
 
     /// Checks that no entry and no sidecar ever stepped back.
-    pub(crate) fn assert_versions_rose(&mut self) {
+    pub(crate) async fn assert_versions_rose(&mut self) {
         for process in self.members() {
+            // Lines are written in their order, a moment after they came: with this one, all before it are there.
+            process.hang_up();
+            process.logged("Reloaded settings without a change.").await;
             let versions = process.versions();
             assert!(
                 versions.is_sorted_by(|older, newer| older < newer),
