Let hot teams give way to the others at a gateway that is short of processor time

Change: a team is hot when it asks for 1.5 times an even share of what is asked for; hot teams fill a part of the limit that falls while another team is turned away, and the others may fill a quarter more than the limit. Test: many_small_teams_are_served_beside_a_hot_one (102 of 400 turned away before, 40 at most now).

--- a/crates/routing/src/overload.rs
+++ b/crates/routing/src/overload.rs
@@ -48,14 +48,39 @@
     }
 }
 
-/// Part of the limit that remains after a window of overload, in thousandths.
+/// Part of the limit that remains after a window of overload, in thousandths: as long as the lag is a few times the target,
+/// and beyond.
 const FALL_PERMILLE: u32 = 850;
+const STEEP_FALL_PERMILLE: u32 = 500;
+
+/// Times the target from which on the limit falls steeply. A gateway that a hot caller falls upon takes a second's work
+/// in its first window, and every window at that limit adds to it.
+const STEEP_TIMES: u32 = 8;
 
 /// Part of the limit by which it rises after a window without, in thousandths, while it is used.
-const RISE_PERMILLE: u32 = 60;
+const RISE_PERMILLE: u32 = 80;
 
-/// Part of the limit that teams above an even share may fill, in thousandths; the rest is for the others.
+/// Most and least part of the limit that hot teams may fill, in thousandths; the rest is for the others. It falls while
+/// one of these is turned away, and rises while none is.
 const SHARED_PERMILLE: u32 = 750;
+const LEAST_SHARED_PERMILLE: u32 = 150;
+
+/// Part of it that remains after a window in which another team was turned away, and what it gains after one in which none
+/// was, in thousandths.
+const SHARED_FALL_PERMILLE: u32 = 600;
+const SHARED_RISE_PERMILLE: u32 = 30;
+
+/// What the others may fill of the limit, in thousandths: a little more than all of it, since hot teams brought it down.
+const OTHERS_PERMILLE: u32 = 1_250;
+
+/// Times an even share of what is asked for from which on a team is hot.
+const HOT_TIMES: f64 = 1.5;
+
+/// Part of what a team has asked for that counts after a window: a second is remembered.
+const ASKED_KEPT: f64 = 0.8;
+
+/// What a team has asked for below which it is forgotten.
+const FORGET_BELOW: f64 = 0.1;
 
 /// Windows in a row with many requests turned away, after which new connections are asked to go elsewhere.
 const FULL_AFTER_WINDOWS: u32 = 2;
@@ -94,6 +119,49 @@
     pub lag: Duration,
 }
 
+/// Counts what each team has asked for lately, to tell the hot ones.
+#[derive(Debug, Default)]
+struct Asked {
+    teams: HashMap<Box<str>, f64>,
+    total: f64,
+    /// Whether a hot team has asked in this window or the one before, and in this one.
+    has_hot: bool,
+    had_hot: bool,
+}
+
+impl Asked {
+    /// Counts a request, and returns whether its team asks for far more than an even share.
+    fn note(&mut self, team: &str) -> bool {
+        self.total += 1.0;
+        let asked = match self.teams.get_mut(team) {
+            Some(asked) => {
+                *asked += 1.0;
+                *asked
+            }
+            None => {
+                self.teams.insert(team.into(), 1.0);
+                1.0
+            }
+        };
+        #[expect(clippy::cast_precision_loss, reason = "teams are far fewer than 2^52")]
+        let even = self.total / self.teams.len() as f64;
+        let is_hot = asked > even * HOT_TIMES;
+        self.has_hot |= is_hot;
+        self.had_hot |= is_hot;
+        is_hot
+    }
+
+    /// Lets what was asked for earlier count less.
+    fn fade(&mut self) {
+        self.teams.retain(|_, asked| {
+            *asked *= ASKED_KEPT;
+            *asked >= FORGET_BELOW
+        });
+        self.total = self.teams.values().sum();
+        self.has_hot = std::mem::take(&mut self.had_hot);
+    }
+}
+
 /// Limits the requests under way at one gateway.
 #[derive(Debug)]
 pub struct Overload {
@@ -111,6 +179,11 @@
     /// Requests that began, and that were turned away, in this window.
     begun: u32,
     refused: u32,
+    /// Those of teams that are not hot turned away in this window.
+    refused_others: u32,
+    /// Part of the limit that hot teams may fill now, in thousandths.
+    shared_permille: u32,
+    asked: Asked,
     /// Windows in a row that were full, or had room.
     full_windows: u32,
     room_windows: u32,
@@ -136,6 +209,9 @@
             lag: Duration::ZERO,
             begun: 0,
             refused: 0,
+            refused_others: 0,
+            shared_permille: SHARED_PERMILLE,
+            asked: Asked::default(),
             full_windows: 0,
             room_windows: 0,
             room_needed: ROOM_AFTER_WINDOWS,
@@ -158,7 +234,13 @@
         if self.is_short() {
             // A limit far above what is under way would take many windows to bite.
             let from = limit.min(used.max(self.rules.least));
-            self.limit = (from * FALL_PERMILLE / 1000).max(self.rules.least);
+            let is_steep = self.lag > self.rules.target_lag * STEEP_TIMES;
+            let left = if is_steep {
+                STEEP_FALL_PERMILLE
+            } else {
+                FALL_PERMILLE
+            };
+            self.limit = (from * left / 1000).max(self.rules.least);
         } else if used * 1000 >= limit * SHARED_PERMILLE {
             let rise = (limit * RISE_PERMILLE / 1000).max(1);
             self.limit = (limit + rise).min(self.rules.most);
@@ -168,6 +250,12 @@
     /// Notes whether the last window was full or had room, and follows it after some windows in a row.
     fn note_window(&mut self, used: u32) {
         let refused = std::mem::take(&mut self.refused);
+        self.asked.fade();
+        self.shared_permille = if std::mem::take(&mut self.refused_others) > 0 {
+            (self.shared_permille * SHARED_FALL_PERMILLE / 1000).max(LEAST_SHARED_PERMILLE)
+        } else {
+            (self.shared_permille + SHARED_RISE_PERMILLE).min(SHARED_PERMILLE)
+        };
         let asked = refused + std::mem::take(&mut self.begun);
         let has_room =
             !self.is_short() && refused == 0 && used * 1000 <= self.limit * ROOM_PERMILLE;
@@ -196,13 +284,16 @@
     /// Returns what there was no room for.
     pub fn try_begin(&mut self, team: &str) -> Result<(), Overloaded> {
         let team_running = self.teams.get(team).copied().unwrap_or_default();
-        let others = self.teams.len() - usize::from(team_running > 0);
-        let even = self.limit / u32::try_from(others + 1).unwrap_or(u32::MAX);
-        let shared = self.limit * SHARED_PERMILLE / 1000;
-        let is_below_share = team_running < even.max(1);
-        let room = if is_below_share { self.limit } else { shared };
+        let is_hot = self.asked.note(team);
+        let room_permille = match (is_hot, self.asked.has_hot) {
+            (true, _) => self.shared_permille,
+            (false, true) => OTHERS_PERMILLE,
+            (false, false) => 1_000,
+        };
+        let room = self.limit * room_permille / 1000;
         if self.running >= room.max(1) {
             self.refused += 1;
+            self.refused_others += u32::from(!is_hot);
             return Err(Overloaded {
                 running: self.running,
                 limit: self.limit,
--- a/crates/routing/tests/overload.rs
+++ b/crates/routing/tests/overload.rs
@@ -108,6 +108,19 @@
         let refused = Gateway::count(&gateway.refused, "small");
         assert!(refused <= 5, "{refused} of 50 requests of the small team are turned away");
     }
+    many_small_teams_are_served_beside_a_hot_one => {
+        // Together they need half of the gateway, and the hot one asks for five times of it.
+        let small = ["s1", "s2", "s3", "s4", "s5", "s6"].map(|team| (team, 150));
+        let teams: Vec<_> = small.into_iter().chain([("hot", 2)]).collect();
+        let mut gateway = Gateway::new(90);
+        gateway.run(5_000, &teams);
+        (gateway.begun, gateway.refused) = (Vec::new(), Vec::new());
+        gateway.longest_lag_ms = 0;
+        gateway.run(10_000, &teams);
+        let refused: usize = small.iter().map(|(team, _)| Gateway::count(&gateway.refused, team)).sum();
+        assert!(refused <= 40, "{refused} of 400 requests of the small teams are turned away");
+        assert!(gateway.longest_lag_ms < 250, "{} ms", gateway.longest_lag_ms);
+    }
     a_load_that_a_gateway_can_bear_is_never_turned_away => {
         let mut gateway = Gateway::new(450);
         gateway.run(20_000, &[("a", 10), ("b", 10), ("c", 20)]);
