--- a/crates/routing/src/overload.rs
+++ b/crates/routing/src/overload.rs
@@ -133,15 +133,12 @@
     /// Counts a request, and returns whether its team asks for far more than an even share.
     fn note(&mut self, team: &str) -> bool {
         self.total += 1.0;
-        let asked = match self.teams.get_mut(team) {
-            Some(asked) => {
-                *asked += 1.0;
-                *asked
-            }
-            None => {
-                self.teams.insert(team.into(), 1.0);
-                1.0
-            }
+        let asked = if let Some(asked) = self.teams.get_mut(team) {
+            *asked += 1.0;
+            *asked
+        } else {
+            self.teams.insert(team.into(), 1.0);
+            1.0
         };
         #[expect(clippy::cast_precision_loss, reason = "teams are far fewer than 2^52")]
         let even = self.total / self.teams.len() as f64;
