Tell one request's story out of the logs of all processes

Change: sequoiactl explain ID LOG... puts the lines of a request over all processes in order, shows the changes of belief of the processes and endpoints that it met in the two seconds before, and names what the logs lack: an end, a verdict, dropped lines, a start in between. Lines are read back by hinge-telemetry, which writes them.

--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -91,6 +91,8 @@
     Upgrade(UpgradeOptions),
     /// report burn, gap or utilisation out of metrics
     Report(ReportOptions),
+    /// tell what became of a request, and why, out of logs: explain ID LOG...
+    Explain(ExplainOptions),
 }
 
 /// Takes a folder of *.toml files.
@@ -103,6 +105,19 @@
     pub(crate) folder: String,
 }
 
+/// Tells the story of the request ID over all processes, in order, and names what the logs lack. Exits with 1 when no line names it.
+#[derive(Debug, Options)]
+pub(crate) struct ExplainOptions {
+    /// print this help
+    pub(crate) help: bool,
+    /// number of the request, as the caller's answer and the logs have it
+    #[options(free, required)]
+    pub(crate) id: String,
+    /// logs of the processes, a file each; - reads standard input
+    #[options(free)]
+    pub(crate) logs: Vec<String>,
+}
+
 /// Makes FOLDER the configuration in force. Exits with 3 when another change won.
 #[derive(Debug, Options)]
 pub(crate) struct ApplyOptions {
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -14,6 +14,7 @@
 mod output;
 mod scrape;
 mod show;
+mod story;
 mod values;
 
 use gumdrop::{Options, ParsingStyle};
@@ -100,5 +101,6 @@
         Command::Orders(options) => commands::orders::run(options, &link, output).await,
         Command::Upgrade(options) => commands::upgrade::run(&options, &link, output).await,
         Command::Report(options) => commands::report::run(options, &link, output).await,
+        Command::Explain(options) => commands::explain::run(&options, output),
     }
 }
--- /dev/null
+++ b/crates/ctl/src/story.rs
@@ -0,0 +1,236 @@
+//! Puts the lines of one request over all processes in order, and names what is missing.
+
+use std::fmt::Write as _;
+use std::time::Duration;
+
+use hinge_telemetry::log::Level;
+use hinge_telemetry::parse::Line;
+use serde::Serialize;
+
+/// Key of a request's number, and sentence of the line that ends it.
+const ID: &str = "id";
+const END: &str = "Request.";
+
+/// Sentences of an admission's two decisions.
+const GRANTED: &str = "Granted.";
+const REFUSED: &str = "Refused.";
+
+/// Sentence of the line that tells how many lines were dropped.
+const DROPPED: &str = "Dropped lines that nobody took in time.";
+
+/// Sentence of the line with which a process begins.
+const STARTED: &str = "Listening.";
+
+/// Time before a request's first line in which a changed belief may have decided it: an endpoint is held out, and a load is
+/// believed, for a few seconds at most.
+const BEFORE: Duration = Duration::from_secs(2);
+
+/// Most lines that are shown around a request; the last ones are the nearest.
+const MOST_AROUND: usize = 20;
+
+/// Sentence of the line that an admission writes of its engine once a second; only the last one is shown.
+const ENGINE: &str = "Engine.";
+
+/// Holds one line with the process that wrote it.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Told {
+    pub(crate) time: Box<str>,
+    pub(crate) process: Box<str>,
+    /// The line without its time.
+    pub(crate) text: Box<str>,
+}
+
+/// Holds what the logs tell of a request.
+#[derive(Debug, Serialize)]
+pub(crate) struct Story {
+    pub(crate) id: Box<str>,
+    /// What became of it, and why, in one line.
+    pub(crate) outcome: Box<str>,
+    /// Its own lines, in order.
+    pub(crate) lines: Vec<Told>,
+    /// Changes of belief of the processes and endpoints that it met, shortly before and during it.
+    pub(crate) around: Vec<Told>,
+    /// What the logs lack.
+    pub(crate) gaps: Vec<Box<str>>,
+}
+
+struct Read {
+    process: Box<str>,
+    line: Line,
+    text: Box<str>,
+}
+
+impl Read {
+    fn told(&self) -> Told {
+        Told {
+            time: self.line.time.clone(),
+            process: self.process.clone(),
+            text: self.text.clone(),
+        }
+    }
+
+    fn is_of(&self, id: &str) -> bool {
+        self.line.get(ID) == Some(id)
+    }
+}
+
+/// Tells the story of a request out of logs, each with the name of its process.
+pub(crate) fn tell(id: &str, logs: &[(Box<str>, String)]) -> Story {
+    let mut all: Vec<Read> = logs
+        .iter()
+        .flat_map(|(process, log)| log.lines().filter_map(|text| read(process, text)))
+        .collect();
+    // Lines of one process keep their order where their times are equal.
+    all.sort_by(|a, b| a.line.time.cmp(&b.line.time));
+    let own: Vec<&Read> = all.iter().filter(|read| read.is_of(id)).collect();
+    let end = own.iter().rev().find(|read| &*read.line.sentence == END);
+    Story {
+        id: id.into(),
+        outcome: outcome(end.map(|read| &read.line), own.is_empty()),
+        lines: own.iter().map(|read| read.told()).collect(),
+        around: around(&all, &own),
+        gaps: gaps(&all, &own, end.copied()),
+    }
+}
+
+/// Reads a line; what stands before its time names its process, and else the log does.
+fn read(process: &str, text: &str) -> Option<Read> {
+    let mut start = 0;
+    loop {
+        if let Some(line) = Line::read(&text[start..]) {
+            let before = text[..start].trim();
+            let process = if before.is_empty() { process } else { before };
+            let level_at = start + line.time.len() + 1;
+            return Some(Read {
+                process: process.into(),
+                text: text[level_at..].into(),
+                line,
+            });
+        }
+        start += text[start..].find(' ')? + 1;
+    }
+}
+
+fn outcome(end: Option<&Line>, is_unknown: bool) -> Box<str> {
+    let Some(end) = end else {
+        let text = if is_unknown {
+            "no line of these logs names it"
+        } else {
+            "no line tells its end"
+        };
+        return text.into();
+    };
+    let value = |key| end.get(key).unwrap_or_default();
+    let mut text = format!("{}, status {}", value("outcome"), value("status"));
+    for (key, title) in [("cause", "cause"), ("endpoints", "endpoints"), ("ms", "ms")] {
+        let value = value(key);
+        if !value.is_empty() {
+            // A string takes every write.
+            let _written = write!(text, ", {title}: {value}");
+        }
+    }
+    text.into()
+}
+
+/// Returns the warnings and changes of belief of the processes that wrote of the request, and of its endpoints.
+fn around(all: &[Read], own: &[&Read]) -> Vec<Told> {
+    let (Some(first), Some(last)) = (own.first(), own.last()) else {
+        return Vec::new();
+    };
+    let from = earlier(&first.line.time, BEFORE);
+    let met = endpoints(own);
+    let is_near = |read: &&Read| {
+        let is_in_time = *from <= *read.line.time && read.line.time <= last.line.time;
+        let is_there = own.iter().any(|own| own.process == read.process);
+        let is_of_endpoint = read
+            .line
+            .get("endpoint")
+            .is_some_and(|endpoint| met.contains(&endpoint));
+        let is_belief = read.line.get(ID).is_none() && read.line.level <= Level::Info;
+        is_in_time && is_belief && (is_there || is_of_endpoint)
+    };
+    let mut near: Vec<&Read> = all.iter().filter(is_near).collect();
+    keep_last_of_each(&mut near);
+    let skipped = near.len().saturating_sub(MOST_AROUND);
+    near[skipped..].iter().map(|read| read.told()).collect()
+}
+
+/// Keeps only the last of the lines that a process writes once a second.
+fn keep_last_of_each(near: &mut Vec<&Read>) {
+    let mut kept: Vec<&Read> = Vec::with_capacity(near.len());
+    for read in near.iter().rev() {
+        let is_again = &*read.line.sentence == ENGINE
+            && kept.iter().any(|later| {
+                later.process == read.process && later.line.sentence == read.line.sentence
+            });
+        if !is_again {
+            kept.push(read);
+        }
+    }
+    kept.reverse();
+    *near = kept;
+}
+
+/// Returns the endpoints that a request was sent to, or that were asked for a place.
+fn endpoints<'a>(own: &[&'a Read]) -> Vec<&'a str> {
+    let values = own
+        .iter()
+        .flat_map(|read| [read.line.get("endpoints"), read.line.get("refused_by")]);
+    let listed = values.flatten().flat_map(|value| value.split(','));
+    listed.filter(|endpoint| !endpoint.is_empty()).collect()
+}
+
+/// Names what the logs lack of a request.
+fn gaps(all: &[Read], own: &[&Read], end: Option<&Read>) -> Vec<Box<str>> {
+    let mut gaps: Vec<Box<str>> = Vec::new();
+    let (Some(first), Some(last)) = (own.first(), own.last()) else {
+        return gaps;
+    };
+    let has = |sentence| own.iter().any(|read| &*read.line.sentence == sentence);
+    match end {
+        None => gaps.push(
+            "no gateway tells the end: its log is not among these, it was killed, or the request still runs"
+                .into(),
+        ),
+        Some(end) => {
+            let value = |key| end.line.get(key).unwrap_or_default();
+            if !value("refused_by").is_empty() && !has(REFUSED) {
+                gaps.push("an admission refused it, and the line of that is missing".into());
+            }
+            let was_asked = value("ahead_tokens").parse().is_ok_and(|tokens: u64| tokens > 0);
+            if was_asked && !has(GRANTED) && !value("endpoints").is_empty() {
+                gaps.push("an admission granted it a place, and the line of that is missing".into());
+            }
+        }
+    }
+    let from = earlier(&first.line.time, BEFORE);
+    for read in all {
+        let is_in_time = *from <= *read.line.time && read.line.time <= last.line.time;
+        let count = read.line.get("count").unwrap_or("some");
+        let process = &read.process;
+        let time = &read.line.time;
+        match &*read.line.sentence {
+            // The count is written when lines are taken again, which may be after the request.
+            DROPPED if *read.line.time >= *from => {
+                gaps.push(format!("{process} dropped {count} lines before {time}").into());
+            }
+            STARTED if is_in_time => {
+                gaps.push(
+                    format!("{process} started at {time}, and knows of nothing before").into(),
+                );
+            }
+            _ => {}
+        }
+    }
+    gaps
+}
+
+/// Returns a time as it is written in logs, earlier by a while; the time itself when it is none.
+fn earlier(time: &str, by: Duration) -> Box<str> {
+    let Ok(time_of) = humantime::parse_rfc3339(time) else {
+        return time.into();
+    };
+    humantime::format_rfc3339_millis(time_of - by)
+        .to_string()
+        .into()
+}
--- a/crates/ctl/tests/command_line.rs
+++ b/crates/ctl/tests/command_line.rs
@@ -37,7 +37,9 @@
     let args: Vec<String> = line
         .split_whitespace()
         .map(|word| match word {
-            "GOOD" | "BAD" | "NOWHERE" | "KEY" | "OPEN" => path(word).display().to_string(),
+            "GOOD" | "GOOD/a.toml" | "BAD" | "NOWHERE" | "KEY" | "OPEN" => {
+                path(word).display().to_string()
+            }
             word => word.to_owned(),
         })
         .collect();
@@ -71,6 +73,9 @@
     a_report_of_a_file_without_samples => ("report utilisation --samples KEY", Exit::Ok, ""),
     a_scrape_without_a_time => ("report burn --folder GOOD --scrape a=b:1", Exit::Invalid, "add --watch"),
     a_scrape_without_a_name => ("report burn --folder GOOD --scrape b:1 --watch 1s", Exit::Invalid, "NAME=HOST:PORT"),
+    a_story_without_logs => ("explain 4e10f670df98758e", Exit::Invalid, "which logs?"),
+    a_story_of_a_log_that_is_not_there => ("explain 4e10f670df98758e NOWHERE", Exit::Failed, "can't be read"),
+    a_story_that_no_line_tells => ("explain 4e10f670df98758e GOOD/a.toml", Exit::Failed, ""),
     an_upgrade_without_question => ("upgrade", Exit::Invalid, "sequoiactl upgrade status"),
 }
 
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod lines;
 pub mod log;
 pub mod metrics;
+pub mod parse;
 pub mod readiness;
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -106,6 +106,19 @@
         }
     }
 
+    /// Returns the level of a name.
+    #[must_use]
+    pub fn named(name: &str) -> Option<Self> {
+        let levels = [
+            Self::Error,
+            Self::Warn,
+            Self::Info,
+            Self::Debug,
+            Self::Trace,
+        ];
+        levels.into_iter().find(|level| level.as_str() == name)
+    }
+
     fn inner(self) -> spdlog::Level {
         match self {
             Self::Error => spdlog::Level::Error,
