Carry all asks of a gateway to an admission over one exchange

Of some 17 system calls for a request, and of its allocations, a third was the exchange that each ask opened and reset. Change: one exchange for each gateway and admission carries numbered asks, verdicts, and the words of beginnings, ends and losses (hinge-gateway line, hinge-admission asks). An admission says at once that an ask is queued, so that a silent one is still noticed within 150 ms. An admission that stops ends exchanges and feeds once no request is granted, in place of waiting 2 s.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -4,6 +4,7 @@
 //! queue, without any I/O, and [`Server`] serves it. The answers don't pass through here; a gateway that can't reach the
 //! admission sends unasked.
 
+mod asks;
 mod cache;
 mod engine;
 mod pace;
@@ -15,5 +16,5 @@
 pub use engine::{Engine, Report, Run};
 pub use pace::Pace;
 pub use queue::{Admission, Ask, AskId, Decision, Load, Rules};
-pub use serve::{ADMIT_PATH, LOAD_PATH, Server};
+pub use serve::{ASKS_PATH, LOAD_PATH, Server};
 pub use usage::Usage;
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -351,6 +351,12 @@
         &self.usage
     }
 
+    /// Returns whether an ask waits for its turn.
+    #[must_use]
+    pub fn is_queued(&self, id: AskId) -> bool {
+        self.waiting.iter().any(|waiting| waiting.id == id)
+    }
+
     /// Returns whether any ask waits.
     #[must_use]
     pub fn is_waiting(&self) -> bool {
--- a/crates/admission/src/serve.rs
+++ b/crates/admission/src/serve.rs
@@ -7,23 +7,22 @@
 use std::time::Duration;
 
 use hinge_link::{ClusterKey, FrameReader, FrameSender, Limits, ServerHandle, exchange};
-use hinge_schema::routing::{
-    AdmitAsk, AdmitLost, AdmitNote, AdmitVerdict, AskLoad, EngineLoad, TeamUse,
-};
+use hinge_schema::routing::{AskLoad, EngineLoad, TeamUse};
 use hinge_telemetry::info;
 use hinge_telemetry::log::Part;
 use hinge_telemetry::metrics::Registry;
 use prometheus_client::metrics::counter::Counter;
-use tokio::sync::{oneshot, watch};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
 use viz::{Body, Request, Router};
 
+use crate::asks::{self, Asker, News};
 use crate::engine::{Engine, Report};
 use crate::queue::{Admission, Ask, AskId, Decision, Rules};
 
-/// Path of an ask for a place.
-pub const ADMIT_PATH: &str = "/v1/admit";
+/// Path of the exchange that carries the asks of one gateway for places.
+pub const ASKS_PATH: &str = "/v1/asks";
 
 /// Path of a gateway's question for the load.
 pub const LOAD_PATH: &str = "/v1/load";
@@ -47,21 +46,28 @@
 #[derive(Debug)]
 struct State {
     admission: Admission,
-    answers: HashMap<AskId, oneshot::Sender<Decision>>,
-    /// Tells those whose requests the engine does not run any more.
-    lost: HashMap<AskId, oneshot::Sender<Duration>>,
+    askers: HashMap<AskId, Asker>,
     next_id: AskId,
 }
 
 #[derive(Debug)]
-struct Shared {
+pub(crate) struct Shared {
     state: Mutex<State>,
     changed: watch::Sender<u64>,
+    stopping: watch::Sender<bool>,
     began: Instant,
     granted: Counter,
     refused: Counter,
 }
 
+impl State {
+    fn tell(&self, id: AskId, news: News) {
+        if let Some(asker) = self.askers.get(&id) {
+            asker.tell(news);
+        }
+    }
+}
+
 impl Shared {
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
@@ -73,31 +79,67 @@
         let mut state = self.lock();
         let result = act(&mut state, now);
         for decision in state.admission.decide(now) {
-            let (id, count) = match decision {
-                Decision::Grant { id, .. } => (id, &self.granted),
-                Decision::Refuse { id, .. } => (id, &self.refused),
-            };
-            count.inc();
-            let answer = state.answers.remove(&id);
-            // An asker that is gone ends its ask by itself.
-            let _asker_is_gone = answer.map(|answer| answer.send(decision));
+            match decision {
+                Decision::Grant { id, .. } => {
+                    self.granted.inc();
+                    state.tell(id, News::Decided(decision));
+                }
+                Decision::Refuse { id, .. } => {
+                    self.refused.inc();
+                    state.tell(id, News::Decided(decision));
+                    state.askers.remove(&id);
+                }
+            }
         }
         for (id, missing) in state.admission.take_lost() {
-            if let Some(lost) = state.lost.remove(&id) {
-                // An asker that is gone ends its ask by itself.
-                let _asker_is_gone = lost.send(missing);
-            }
+            state.tell(id, News::Lost(missing));
         }
         drop(state);
         self.changed.send_modify(|count| *count += 1);
         result
     }
+
+    /// Puts an ask into the queue, and returns its id and whether it waits there for its turn.
+    pub(crate) fn ask(&self, ask: Ask, asker: Asker) -> (AskId, bool) {
+        let id = self.change(|state, now| {
+            let id = state.next_id;
+            state.next_id += 1;
+            state.askers.insert(id, asker);
+            state.admission.ask(now, id, ask);
+            id
+        });
+        (id, self.lock().admission.is_queued(id))
+    }
+
+    /// Notes that the answer to a granted ask has begun.
+    pub(crate) fn began(&self, id: AskId) {
+        self.change(|state, now| state.admission.began(now, id));
+    }
+
+    /// Ends asks, whether they wait or were granted.
+    pub(crate) fn end(&self, ids: impl ExactSizeIterator<Item = AskId>) {
+        if ids.len() == 0 {
+            return;
+        }
+        self.change(|state, now| {
+            for id in ids {
+                state.askers.remove(&id);
+                state.admission.ended(now, id);
+            }
+        });
+    }
+
+    /// Returns where it is told that this process stops.
+    pub(crate) fn stopping(&self) -> watch::Receiver<bool> {
+        self.stopping.subscribe()
+    }
 }
 
 /// Holds a running admission.
 #[derive(Debug)]
 pub struct Server {
     handle: ServerHandle,
+    shared: Arc<Shared>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -119,11 +161,11 @@
         let shared = Arc::new(Shared {
             state: Mutex::new(State {
                 admission: Admission::new(rules),
-                answers: HashMap::new(),
-                lost: HashMap::new(),
+                askers: HashMap::new(),
                 next_id: 1,
             }),
             changed: watch::Sender::new(0),
+            stopping: watch::Sender::new(false),
             began: Instant::now(),
             granted: registry.counter("admission_granted", "Requests that were let through."),
             refused: registry.counter("admission_refused", "Requests that were turned away."),
@@ -132,14 +174,19 @@
         let handle = hinge_link::Server::bind(address, router, Limits::default()).await?;
         let mut tasks = vec![tokio::spawn(look(Arc::clone(&shared)))];
         if let Some((engine, report_interval)) = engine {
-            tasks.push(tokio::spawn(follow_engine(engine, report_interval, shared)));
+            let followed = follow_engine(engine, report_interval, Arc::clone(&shared));
+            tasks.push(tokio::spawn(followed));
         }
         info!(
             Part::Admission,
             "Listening.",
             address = handle.local_address()
         );
-        Ok(Self { handle, tasks })
+        Ok(Self {
+            handle,
+            shared,
+            tasks,
+        })
     }
 
     /// Returns the address that was bound.
@@ -150,6 +197,7 @@
 
     /// Stops taking asks, lets those that run end, and returns whether all ended before the deadline.
     pub async fn stop(self, deadline: Duration) -> bool {
+        self.shared.stopping.send_replace(true);
         let has_ended = self.handle.stop(deadline).await;
         for task in &self.tasks {
             task.abort();
@@ -159,13 +207,13 @@
 }
 
 fn router(key: &ClusterKey, shared: &Arc<Shared>) -> Router {
-    let (admit_key, admit_shared) = (key.clone(), Arc::clone(shared));
+    let (ask_key, ask_shared) = (key.clone(), Arc::clone(shared));
     let (load_key, load_shared) = (key.clone(), Arc::clone(shared));
     Router::new()
-        .post(ADMIT_PATH, move |request: Request| {
-            let shared = Arc::clone(&admit_shared);
-            let answered = exchange(&admit_key, request, |reader, sender| {
-                admit(shared, reader, sender)
+        .post(ASKS_PATH, move |request: Request| {
+            let shared = Arc::clone(&ask_shared);
+            let answered = exchange(&ask_key, request, |reader, sender| {
+                asks::serve(shared, reader, sender)
             });
             async move { answered }
         })
@@ -243,146 +291,10 @@
     );
 }
 
-/// Ends an ask when it is dropped, however its exchange ended.
-struct Place {
-    shared: Arc<Shared>,
-    id: AskId,
-}
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        let id = self.id;
-        self.shared.change(|state, now| {
-            state.answers.remove(&id);
-            state.lost.remove(&id);
-            state.admission.ended(now, id);
-        });
-    }
-}
-
-async fn admit(shared: Arc<Shared>, mut reader: FrameReader<Body>, sender: FrameSender) {
-    let Ok(Some(ask)) = reader.next::<AdmitAsk>().await else {
-        return;
-    };
-    let (answer, mut decision) = oneshot::channel();
-    let (lost, mut is_lost) = oneshot::channel();
-    let id = shared.change(|state, now| {
-        let id = state.next_id;
-        state.next_id += 1;
-        state.answers.insert(id, answer);
-        state.lost.insert(id, lost);
-        state.admission.ask(now, id, read_ask(&ask));
-        id
-    });
-    let place = Place { shared, id };
-    let decided = tokio::select! {
-        decided = &mut decision => decided,
-        // Nothing more is said before the verdict, so this is the end of the exchange.
-        _ended = reader.next::<AdmitNote>() => return,
-    };
-    let Ok(decided) = decided else {
-        return;
-    };
-    tell_decision(&ask, decided);
-    let verdict = verdict(decided, load(&place.shared, false));
-    if sender.send(&verdict).await.is_err() || matches!(decided, Decision::Refuse { .. }) {
-        return;
-    }
-    // The word of the loss comes once; the gateway may go on after it.
-    let mut is_running = true;
-    loop {
-        tokio::select! {
-            note = reader.next::<AdmitNote>() => match note {
-                Ok(Some(_has_begun)) => {
-                    place.shared.change(|state, now| state.admission.began(now, id));
-                }
-                Ok(None) | Err(_) => return,
-            },
-            missing = &mut is_lost, if is_running => {
-                is_running = false;
-                let Ok(missing) = missing else {
-                    continue;
-                };
-                info!(
-                    Part::Admission,
-                    "The engine does not run a request any more.",
-                    id = ask.request_id,
-                    missing_ms = missing.as_millis()
-                );
-                let missing_ms = millis(missing);
-                if sender.send(&AdmitLost { missing_ms }).await.is_err() {
-                    return;
-                }
-            }
-        }
-    }
-}
-
-fn read_ask(ask: &AdmitAsk) -> Ask {
-    Ask {
-        request_id: ask.request_id.clone(),
-        team: ask.team.clone(),
-        rank: ask.rank,
-        prompt_tokens: ask.prompt_tokens,
-        answer_tokens: ask.answer_tokens,
-        shared: (ask.shared_key != 0).then_some((ask.shared_key, ask.shared_tokens)),
-        budget: Duration::from_millis(ask.budget_ms),
-        elsewhere_tokens: ask.elsewhere_tokens,
-    }
-}
-
-fn verdict(decision: Decision, load: EngineLoad) -> AdmitVerdict {
-    let (granted, retry_after, waited, ahead_tokens) = match decision {
-        Decision::Grant {
-            waited,
-            ahead_tokens,
-            ..
-        } => (true, Duration::ZERO, waited, ahead_tokens),
-        Decision::Refuse {
-            retry_after,
-            ahead_tokens,
-            ..
-        } => (false, retry_after, Duration::ZERO, ahead_tokens),
-    };
-    AdmitVerdict {
-        granted,
-        retry_after_ms: millis(retry_after),
-        wait_ms: millis(waited),
-        ahead_tokens,
-        load,
-    }
-}
-
-fn tell_decision(ask: &AdmitAsk, decision: Decision) {
-    match decision {
-        Decision::Grant {
-            waited,
-            ahead_tokens,
-            ..
-        } => info!(
-            Part::Admission,
-            "Granted.",
-            id = ask.request_id,
-            team = ask.team,
-            waited_ms = waited.as_millis(),
-            ahead_tokens = ahead_tokens,
-            prompt_tokens = ask.prompt_tokens
-        ),
-        Decision::Refuse {
-            retry_after,
-            ahead_tokens,
-            ..
-        } => info!(
-            Part::Admission,
-            "Refused.",
-            id = ask.request_id,
-            team = ask.team,
-            budget_ms = ask.budget_ms,
-            ahead_tokens = ahead_tokens,
-            prompt_tokens = ask.prompt_tokens,
-            retry_after_ms = retry_after.as_millis()
-        ),
-    }
+/// Waits until this process stops.
+pub(crate) async fn stopped(stopping: &mut watch::Receiver<bool>) {
+    // A sender that is gone means the same.
+    let _told_or_gone = stopping.wait_for(|is_stopping| *is_stopping).await;
 }
 
 /// Tells a gateway the load whenever it has changed.
@@ -392,6 +304,7 @@
     };
     let interval = Duration::from_millis(ask.interval_ms);
     let mut changed = shared.changed.subscribe();
+    let mut stopping = shared.stopping();
     let mut count = 0_u32;
     loop {
         changed.borrow_and_update();
@@ -404,6 +317,7 @@
         tokio::select! {
             () = quiet => {}
             () = sender.closed() => return,
+            () = stopped(&mut stopping) => return,
         }
         let _changed_or_elapsed = timeout(LOAD_AT_LEAST, changed.changed()).await;
     }
@@ -414,7 +328,7 @@
     clippy::cast_sign_loss,
     reason = "a use is no less than nothing, and a cast from floating point saturates"
 )]
-fn load(shared: &Shared, with_teams: bool) -> EngineLoad {
+pub(crate) fn load(shared: &Shared, with_teams: bool) -> EngineLoad {
     let now = shared.began.elapsed();
     let state = shared.lock();
     let load = state.admission.load();
@@ -440,6 +354,6 @@
     }
 }
 
-fn millis(time: Duration) -> u64 {
+pub(crate) fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -4,19 +4,22 @@
 use std::sync::{Arc, Mutex, OnceLock, PoisonError, Weak};
 use std::time::Duration;
 
-use hinge_admission::{ADMIT_PATH, LOAD_PATH};
-use hinge_link::{Client, Exchange};
+use hinge_admission::LOAD_PATH;
+use hinge_link::Client;
 use hinge_routing::load_interval;
-use hinge_schema::routing::{AdmitAsk, AdmitLost, AdmitNote, AdmitVerdict, AskLoad, EngineLoad};
+use hinge_schema::routing::{AdmitAsk, AdmitVerdict, AskLoad, EngineLoad};
 use hinge_telemetry::log::Part;
 use hinge_telemetry::{info, warn};
+use tokio::sync::Mutex as AsyncMutex;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::endpoint::Endpoint;
+use crate::line::{Asked, Line};
 
-/// Longest wait for the admission to take an ask; it is milliseconds away, and a request must not wait for a dead one.
-const OPEN_TIMEOUT: Duration = Duration::from_millis(150);
+/// Longest wait for the admission's first word of an ask, the verdict or that it is queued; it is milliseconds away, and a
+/// request must not wait for a dead one.
+const FIRST_WORD_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// How much longer than the budget a verdict may take before the admission counts as silent.
 const VERDICT_MARGIN: Duration = Duration::from_millis(50);
@@ -45,6 +48,7 @@
 pub(crate) struct Admitter {
     address: Box<str>,
     ways: Ways,
+    line: AsyncMutex<Option<Arc<Line>>>,
     skipped_until: Mutex<Option<Instant>>,
     feed: OnceLock<JoinHandle<()>>,
 }
@@ -63,8 +67,8 @@
 /// Holds a granted place.
 #[derive(Debug)]
 pub(crate) struct Place {
-    /// Both directions stay open for as long as the request runs; their end gives the place back.
-    exchange: Exchange,
+    /// Its end gives the place back.
+    asked: Asked,
     /// Whether the admission has said that the engine does not run the request any more.
     is_lost: bool,
     lost_grace: Duration,
@@ -79,11 +83,8 @@
     /// is ready is passed on. Its bytes come into view with the first of two waits, however late that ends.
     pub(crate) async fn lost(&mut self) {
         if !self.is_lost {
-            match self.exchange.reader.next::<AdmitLost>().await {
-                Ok(Some(_lost)) => self.is_lost = true,
-                // An admission that is gone says nothing about the request.
-                Ok(None) | Err(_) => std::future::pending().await,
-            }
+            self.asked.lost().await;
+            self.is_lost = true;
         }
         sleep(self.lost_grace).await;
         sleep(self.lost_grace).await;
@@ -91,11 +92,7 @@
 
     /// Tells the admission that the prompt is read.
     pub(crate) fn began(&self) {
-        // A full or broken exchange only makes the admission think longer that the engine reads.
-        let _told = self
-            .exchange
-            .sender
-            .try_send(&AdmitNote { has_begun: true });
+        self.asked.began();
     }
 }
 
@@ -104,42 +101,57 @@
         Self {
             address: SocketAddr::new(endpoint.ip(), ways.port).to_string().into(),
             ways,
+            line: AsyncMutex::default(),
             skipped_until: Mutex::default(),
             feed: OnceLock::new(),
         }
     }
 
     /// Asks for a place at the endpoint, and waits for the verdict.
-    pub(crate) async fn ask(&self, endpoint: &Endpoint, ask: &AdmitAsk) -> Admitted {
-        if self.is_skipped() {
+    pub(crate) async fn ask(&self, endpoint: &Endpoint, ask: AdmitAsk) -> Admitted {
+        let request_id = ask.request_id.clone();
+        let Some(line) = self.line(&request_id).await else {
             return Admitted::Unasked;
-        }
-        if let Some(admitted) = self.asked(endpoint, ask).await {
-            return admitted;
-        }
-        self.skip(ask);
-        Admitted::Unasked
-    }
-
-    async fn asked(&self, endpoint: &Endpoint, ask: &AdmitAsk) -> Option<Admitted> {
-        let client = &self.ways.client;
-        let opened = client.open_with(&self.address, ADMIT_PATH, ask, OPEN_TIMEOUT);
-        let mut exchange = opened.await.ok()?;
+        };
         let wait = Duration::from_millis(ask.budget_ms) + VERDICT_MARGIN;
-        let verdict = timeout(wait, exchange.reader.next::<AdmitVerdict>());
-        let verdict = verdict.await.ok()?.ok()??;
+        let mut asked = line.ask(ask);
+        let Some(verdict) = verdict_of(&mut asked, wait).await else {
+            self.skip(&request_id);
+            return Admitted::Unasked;
+        };
         endpoint.saw_engine_load(&verdict.load);
         if !verdict.granted {
             let retry_after = Duration::from_millis(verdict.retry_after_ms);
-            return Some(Admitted::Refused { retry_after });
+            return Admitted::Refused { retry_after };
         }
-        Some(Admitted::Granted(Place {
-            exchange,
+        Admitted::Granted(Place {
+            asked,
             is_lost: false,
             lost_grace: self.ways.lost_grace,
             waited_ms: verdict.wait_ms,
             ahead_tokens: verdict.ahead_tokens,
-        }))
+        })
+    }
+
+    /// Returns the open line, or opens one; none while the admission is skipped.
+    async fn line(&self, request_id: &str) -> Option<Arc<Line>> {
+        // Those who come while it is opened wait for the same one, and skip the admission with the first if it fails.
+        let mut line = self.line.lock().await;
+        if self.is_skipped() {
+            return None;
+        }
+        if let Some(open) = line.as_ref().filter(|line| !line.is_closed()) {
+            return Some(Arc::clone(open));
+        }
+        let client = &self.ways.client;
+        let opened = Line::open(client, &self.address, FIRST_WORD_TIMEOUT).await;
+        let Ok(opened) = opened else {
+            self.skip(request_id);
+            return None;
+        };
+        let opened = Arc::new(opened);
+        *line = Some(Arc::clone(&opened));
+        Some(opened)
     }
 
     fn is_skipped(&self) -> bool {
@@ -148,14 +160,14 @@
         skipped.is_some_and(|until| Instant::now() < until)
     }
 
-    fn skip(&self, ask: &AdmitAsk) {
+    fn skip(&self, request_id: &str) {
         let skipped = self.skipped_until.lock();
         *skipped.unwrap_or_else(PoisonError::into_inner) = Some(Instant::now() + SKIP);
         warn!(
             Part::Gateway,
             "An admission does not answer; its engine gets requests unasked.",
             address = self.address,
-            id = ask.request_id,
+            id = request_id,
             skip_ms = SKIP.as_millis()
         );
     }
@@ -174,6 +186,15 @@
     }
 }
 
+/// Waits for the verdict, or for a while without any word.
+async fn verdict_of(asked: &mut Asked, wait: Duration) -> Option<AdmitVerdict> {
+    match timeout(FIRST_WORD_TIMEOUT, asked.verdict()).await {
+        Ok(verdict) => verdict,
+        Err(_elapsed) if asked.is_queued() => timeout(wait, asked.verdict()).await.ok()?,
+        Err(_elapsed) => None,
+    }
+}
+
 impl Drop for Admitter {
     fn drop(&mut self) {
         if let Some(feed) = self.feed.get() {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -273,6 +273,8 @@
             target.saturating_sub(self.arrived.elapsed())
         };
         let ask = AdmitAsk {
+            // The line to the admission gives the number.
+            number: 0,
             request_id: self.outgoing.request_id.clone().unwrap_or_default(),
             team: self.outgoing.team.clone().unwrap_or_default(),
             rank: self.rank,
@@ -283,7 +285,7 @@
             budget_ms: u64::try_from(budget.as_millis()).unwrap_or(u64::MAX),
             elsewhere_tokens: self.used_elsewhere(endpoint),
         };
-        admitter.ask(endpoint, &ask).await
+        admitter.ask(endpoint, ask).await
     }
 
     /// Sends a stream that broke off to another endpoint, after the last event that the caller has.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod gateway;
 mod headers;
 mod job;
+mod line;
 mod load;
 mod metrics;
 mod pool;
