--- a/crates/ctl/src/story.rs
+++ b/crates/ctl/src/story.rs
@@ -18,7 +18,10 @@
 /// Sentence of the line that tells how many lines were dropped.
 const DROPPED: &str = "Dropped lines that nobody took in time.";
 
-/// Sentence of the line with which a process begins.
+/// Part that every role has, and whose lines say nothing of requests.
+const ADMIN: &str = "admin";
+
+/// Sentence of the line with which a role begins.
 const STARTED: &str = "Listening.";
 
 /// Time before a request's first line in which a changed belief may have decided it: an endpoint is held out, and a load is
@@ -132,7 +135,7 @@
     text.into()
 }
 
-/// Returns the warnings and changes of belief of the processes that wrote of the request, and of its endpoints.
+/// Returns the changes of belief of the processes that wrote of the request, and what went wrong elsewhere with its endpoints.
 fn around(all: &[Read], own: &[&Read]) -> Vec<Told> {
     let (Some(first), Some(last)) = (own.first(), own.last()) else {
         return Vec::new();
@@ -141,13 +144,15 @@
     let met = endpoints(own);
     let is_near = |read: &&Read| {
         let is_in_time = *from <= *read.line.time && read.line.time <= last.line.time;
-        let is_there = own.iter().any(|own| own.process == read.process);
-        let is_of_endpoint = read
-            .line
-            .get("endpoint")
-            .is_some_and(|endpoint| met.contains(&endpoint));
+        let endpoint = read.line.get("endpoint");
+        let is_of_endpoint = endpoint.is_some_and(|endpoint| met.contains(&endpoint));
+        let concerns_it = if is_among(own, &read.process) {
+            endpoint.is_none() || is_of_endpoint
+        } else {
+            is_of_endpoint && read.line.level <= Level::Warn
+        };
         let is_belief = read.line.get(ID).is_none() && read.line.level <= Level::Info;
-        is_in_time && is_belief && (is_there || is_of_endpoint)
+        is_in_time && is_belief && concerns_it
     };
     let mut near: Vec<&Read> = all.iter().filter(is_near).collect();
     keep_last_of_each(&mut near);
@@ -155,6 +160,10 @@
     near[skipped..].iter().map(|read| read.told()).collect()
 }
 
+fn is_among(own: &[&Read], process: &str) -> bool {
+    own.iter().any(|own| *own.process == *process)
+}
+
 /// Keeps only the last of the lines that a process writes once a second.
 fn keep_last_of_each(near: &mut Vec<&Read>) {
     let mut kept: Vec<&Read> = Vec::with_capacity(near.len());
@@ -204,17 +213,17 @@
         }
     }
     let from = earlier(&first.line.time, BEFORE);
-    for read in all {
+    for read in all.iter().filter(|read| &*read.line.part != ADMIN) {
         let is_in_time = *from <= *read.line.time && read.line.time <= last.line.time;
         let count = read.line.get("count").unwrap_or("some");
         let process = &read.process;
         let time = &read.line.time;
         match &*read.line.sentence {
             // The count is written when lines are taken again, which may be after the request.
-            DROPPED if *read.line.time >= *from => {
+            DROPPED if *read.line.time >= *from && is_among(own, process) => {
                 gaps.push(format!("{process} dropped {count} lines before {time}").into());
             }
-            STARTED if is_in_time => {
+            STARTED if is_in_time && is_among(own, process) => {
                 gaps.push(
                     format!("{process} started at {time}, and knows of nothing before").into(),
                 );
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -71,7 +71,8 @@
     }
     the_logs_of_one_stream_are_told_apart_by_what_stands_before_the_time => {
         let lines = GATEWAY.lines().filter(|line| !line.is_empty());
-        let text: String = lines.map(|line| format!("  12.5 edge-7  {line}\n")).collect();
+        let lines: Vec<String> = lines.map(|line| format!("  12.5 edge-7  {line}")).collect();
+        let text = lines.join("\n");
         let (_, text) = story("bb", &[("all", text)]);
         holds_in_order(&text, &["lines:", "12.5 edge-7 info [gateway] Request. id=bb"]);
     }
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -208,11 +208,16 @@
     text.push_str(part.as_str());
     text.push_str("] ");
     escape(sentence, &mut text);
+    // One buffer for all values: a line has some twenty of them, and a small gateway writes hundreds of lines a second.
+    let mut plain = String::with_capacity(32);
     for (key, value) in pairs {
         text.push(' ');
         text.push_str(key);
         text.push('=');
-        push_value(&value.to_string(), &mut text);
+        plain.clear();
+        // A string takes every write.
+        let _written = write!(plain, "{value}");
+        push_value(&plain, &mut text);
     }
     text
 }
