Break an answer off whose task is gone, and bear the end of an exchange with an admission

The task that passed the answer on was gone, and the end of its channel was taken for the end of the answer. Ruled out: the endpoint, whose connection was reset as well and which said nothing of an end. Change: the wait remembers that the exchange has ended. An answer in pieces is complete only once its end was sent; a sender that is gone before breaks it off, whatever made it so. Tests: a_stream_outlives_the_exchange_with_its_admission (fails without the first), and the body's an_answer_whose_sender_is_gone_before_its_end_breaks_off.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -2,12 +2,15 @@
 
 use std::fmt;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
+#[cfg(test)]
+mod tests;
+
 /// Pieces that wait for a slow caller; beyond them its endpoint is not read.
 const WAITING_PIECES: usize = 8;
 
@@ -23,8 +26,50 @@
 
 impl std::error::Error for BrokenOff {}
 
-/// Sends the pieces of an answer; its end is the end of the answer, unless it was broken off.
-pub(crate) type PieceSender = mpsc::Sender<Result<Bytes, BrokenOff>>;
+/// Holds what a sender of pieces says.
+#[derive(Debug)]
+enum Word {
+    Piece(Bytes),
+    End,
+    Broken(BrokenOff),
+}
+
+/// Says that the caller has left.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct CallerLeft;
+
+/// Sends the pieces of an answer. One that is dropped before [`PieceSender::end`] breaks the answer off, whatever made it so.
+#[derive(Debug)]
+pub(crate) struct PieceSender {
+    words: mpsc::Sender<Word>,
+}
+
+impl PieceSender {
+    /// Sends a piece, and waits while the caller is slow.
+    pub(crate) async fn send(&self, piece: Bytes) -> Result<(), CallerLeft> {
+        self.say(Word::Piece(piece)).await
+    }
+
+    /// Ends the answer, which is complete.
+    pub(crate) async fn end(self) -> Result<(), CallerLeft> {
+        self.say(Word::End).await
+    }
+
+    /// Breaks the answer off.
+    pub(crate) async fn break_off(self) -> Result<(), CallerLeft> {
+        self.say(Word::Broken(BrokenOff)).await
+    }
+
+    /// Waits until the caller has left.
+    pub(crate) async fn closed(&self) {
+        self.words.closed().await;
+    }
+
+    async fn say(&self, word: Word) -> Result<(), CallerLeft> {
+        let said = self.words.send(word).await;
+        said.map_err(|_receiver_is_gone| CallerLeft)
+    }
+}
 
 /// Holds a whole answer, or receives its pieces.
 #[derive(Debug)]
@@ -36,9 +81,10 @@
 /// Receives the pieces of an answer.
 #[derive(Debug)]
 pub(crate) struct Pieces {
-    receiver: mpsc::Receiver<Result<Bytes, BrokenOff>>,
+    words: mpsc::Receiver<Word>,
     /// The break that was received, and is told at the next poll.
     broken: Option<BrokenOff>,
+    has_ended: bool,
 }
 
 impl Pieces {
@@ -50,13 +96,22 @@
         if let Some(broken) = self.broken.take() {
             return Poll::Ready(Some(Err(broken)));
         }
-        match self.receiver.poll_recv(cx) {
-            Poll::Ready(Some(Err(broken))) => {
+        if self.has_ended {
+            return Poll::Ready(None);
+        }
+        let word = ready!(self.words.poll_recv(cx));
+        match word.unwrap_or(Word::Broken(BrokenOff)) {
+            Word::Piece(piece) => Poll::Ready(Some(Ok(piece))),
+            Word::End => {
+                self.has_ended = true;
+                Poll::Ready(None)
+            }
+            Word::Broken(broken) => {
+                self.has_ended = true;
                 self.broken = Some(broken);
                 cx.waker().wake_by_ref();
                 Poll::Pending
             }
-            other => other,
         }
     }
 }
@@ -64,12 +119,13 @@
 impl AnswerBody {
     /// Returns a body with the sender of its pieces.
     pub(crate) fn pieces() -> (PieceSender, Self) {
-        let (sender, receiver) = mpsc::channel(WAITING_PIECES);
+        let (sender, words) = mpsc::channel(WAITING_PIECES);
         let pieces = Pieces {
-            receiver,
+            words,
             broken: None,
+            has_ended: false,
         };
-        (sender, Self::Pieces(pieces))
+        (PieceSender { words: sender }, Self::Pieces(pieces))
     }
 }
 
--- a/crates/gateway/src/line.rs
+++ b/crates/gateway/src/line.rs
@@ -80,6 +80,7 @@
             number: ask.number,
             verdict: told,
             is_lost,
+            is_cut_off: false,
             is_refused: false,
         };
         self.say(ToAdmission::Ask(ask));
@@ -99,6 +100,8 @@
     number: u64,
     verdict: oneshot::Receiver<AdmitVerdict>,
     is_lost: oneshot::Receiver<()>,
+    /// Whether the exchange has ended, after which no word of a loss comes.
+    is_cut_off: bool,
     is_refused: bool,
 }
 
@@ -118,11 +121,15 @@
     }
 
     /// Waits until the admission says that the engine does not run the request any more.
+    ///
+    /// It may be dropped while it waits, and called again until it has returned.
     pub(crate) async fn lost(&mut self) {
-        if (&mut self.is_lost).await.is_err() {
-            // An admission that is gone says nothing about the request.
-            std::future::pending::<()>().await;
+        if !self.is_cut_off && (&mut self.is_lost).await.is_ok() {
+            return;
         }
+        // An admission that is gone says nothing about the request.
+        self.is_cut_off = true;
+        std::future::pending::<()>().await;
     }
 
     /// Tells the admission that the prompt is read.
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::attempt::Answer;
-use crate::body::{BrokenOff, PieceSender};
+use crate::body::PieceSender;
 use crate::events::EventSplitter;
 use crate::job::{Job, Story};
 
@@ -65,9 +65,11 @@
         };
         answer = next;
     };
-    if matches!(ended, Ended::Broken | Ended::TimedOut) {
-        let _caller_left = pieces.send(Err(BrokenOff)).await;
-    }
+    let _told_or_left = match ended {
+        Ended::Complete => pieces.end().await,
+        Ended::Broken | Ended::TimedOut => pieces.break_off().await,
+        Ended::CallerLeft => Ok(()),
+    };
     job.gateway.metrics.ended(&job, ended.name());
     story.tell(&job, ended.name());
 }
@@ -115,7 +117,7 @@
             in_use.began();
         }
         story.note_piece(job);
-        if pieces.send(Ok(piece)).await.is_err() {
+        if pieces.send(piece).await.is_err() {
             return Ended::CallerLeft;
         }
     }
