--- a/crates/fakes/src/process.rs
+++ b/crates/fakes/src/process.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{ExitStatus, Stdio};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,6 +21,27 @@
 /// Time between two looks at a condition.
 pub const POLL: Duration = Duration::from_millis(20);
 
+/// Words with which the language's runtime tells of a panic.
+const PANICKED: &str = "panicked at";
+
+/// Holds the panics that processes wrote of.
+#[derive(Debug, Clone, Default)]
+pub struct Panics {
+    lines: Arc<Mutex<Vec<String>>>,
+}
+
+impl Panics {
+    /// Returns them in their order.
+    #[must_use]
+    pub fn lines(&self) -> Vec<String> {
+        self.lock().clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<String>> {
+        self.lines.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// Holds one running process and what it logged.
 #[derive(Debug)]
 pub struct Process {
@@ -28,6 +50,7 @@
     settings: PathBuf,
     child: Child,
     log: watch::Receiver<String>,
+    panics: Panics,
 }
 
 impl Process {
@@ -38,11 +61,22 @@
     /// Panics when the binary does not start.
     #[must_use]
     pub fn spawn(binary: &Path, role: &str, settings: PathBuf) -> Self {
+        Self::spawn_noting(binary, role, settings, Panics::default())
+    }
+
+    /// Does the same, and notes where the process, or one that is started again from it, says that it panicked.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the binary does not start.
+    #[must_use]
+    pub fn spawn_noting(binary: &Path, role: &str, settings: PathBuf, panics: Panics) -> Self {
         let mut child = Command::new(binary)
             .arg(role)
             .arg("--settings")
             .arg(&settings)
             .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
             .stdin(Stdio::null())
             .kill_on_drop(true)
             .spawn()
@@ -57,18 +91,31 @@
                 });
             }
         });
+        let mut errors = BufReader::new(child.stderr.take().expect("stderr is piped")).lines();
+        let found = panics.clone();
+        let name = role.to_owned();
+        tokio::spawn(async move {
+            while let Ok(Some(line)) = errors.next_line().await {
+                eprintln!("{name}: {line}");
+                if line.contains(PANICKED) {
+                    found.lock().push(format!("{name}: {line}"));
+                }
+            }
+        });
         Self {
             binary: binary.into(),
             role: role.to_owned(),
             settings,
             child,
             log,
+            panics,
         }
     }
 
     /// Starts the process again, with the settings that it had and an empty log.
     pub fn restart(&mut self) {
-        *self = Self::spawn(&self.binary, &self.role, self.settings.clone());
+        let panics = self.panics.clone();
+        *self = Self::spawn_noting(&self.binary, &self.role, self.settings.clone(), panics);
     }
 
     /// Kills the process, and starts it again.
