--- a/crates/gateway/src/teams.rs
+++ b/crates/gateway/src/teams.rs
@@ -12,7 +12,7 @@
 const KEEP: Duration = Duration::from_millis(200);
 
 /// Times that a team must have used less than the one with the most to be behind. At two times the parts that were read anew cost
-/// 0.009 of the worth of a loaded day; teams that were kept from more than half of what they asked for had had a ninth.
+/// 0.008 of the worth in the mean of eight days; teams that were kept from more than half of what they asked for had had a ninth.
 const FAR_LESS: u64 = 4;
 
 /// Holds what each team has used lately at all endpoints of a service, in tokens.
