Tell the load of the endpoint that was chosen at last, also when it is an idle one

Cause: the choice of an idle endpoint returned early, past the lines that note its load, so that the request's line kept the load and age of the endpoint that had refused. Change: both choices share one end. Where a request goes is as before: an idle endpoint has no more to read than the bound.

--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -373,13 +373,14 @@
         let prompt = self.prompt.as_ref().filter(|_| self.route.prompts);
         let (far_bytes, draw) = (self.far_bytes(), rand::random());
         let most = self.gateway.max_spill_tokens;
-        if !story.refused.is_empty() && self.is_behind() {
-            let place = choose_idle(&candidates, prompt, far_bytes, rules, most, draw)?;
-            return Some(Arc::clone(usable[place]));
-        }
-        let place = choose(&candidates, prompt, far_bytes, rules, draw)?;
+        let was_refused = !story.refused.is_empty();
+        let place = if was_refused && self.is_behind() {
+            choose_idle(&candidates, prompt, far_bytes, rules, most, draw)
+        } else {
+            choose(&candidates, prompt, far_bytes, rules, draw)
+        }?;
         // Where one engine had no room, only one that is nearly idle is worth reading the shared parts again.
-        if !story.refused.is_empty() && candidates[place].unread_tokens > most {
+        if was_refused && candidates[place].unread_tokens > most {
             return None;
         }
         story.running = candidates[place].running;
