Know an endpoint's incarnation by its id and its birth, and refuse reports of other writers

Cause: an endpoint may start again under its id and then counts its reports anew. Its reports were taken for late ones until their number passed the old one, and a retired id never came back, so that it was lost for good; and what its former start ran was waited for up to its deadline. A report that lacked a field, or named another address for a known endpoint, was taken in.

Ruled out: the number of the report alone can't tell a late report from a new start.

A gateway drops the connections and the knowledge of the former start, lets what it sent arrive for 200 ms, and goes on elsewhere or ends what ran there; attempts are told apart by start and look at the endpoints of the moment. An admission forgets runs, places and kept parts when its engine reports another birth.

--- a/crates/admission/src/engine.rs
+++ b/crates/admission/src/engine.rs
@@ -14,6 +14,8 @@
 /// Describes what an engine does at a moment.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Report {
+    /// Unix millisecond of the engine's start; none where it does not say.
+    pub born_unix_ms: Option<u64>,
     /// Requests that wait for a place in the batch.
     pub queued: u32,
     /// Requests in the batch.
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -155,6 +155,10 @@
     running_kv: u64,
     /// Whether this queue is younger than what its engine may still keep.
     is_young: bool,
+    /// When the engine has started that was reported last.
+    engine_born_unix_ms: Option<u64>,
+    /// Whether the engine has started again beside this queue, so that it keeps nothing that this queue does not know.
+    engine_restarted: bool,
     cache: Cache,
     pace: Pace,
     /// Time from a prompt's reading to the first piece of its answer.
@@ -182,6 +186,8 @@
             unread_tokens: 0,
             running_kv: 0,
             is_young: true,
+            engine_born_unix_ms: None,
+            engine_restarted: false,
             pace: Pace::new(),
             first_event: FIRST_EVENT,
             given_up: 0,
@@ -222,6 +228,7 @@
 
     /// Takes in what the engine reports: how far each prompt is read.
     pub fn reported(&mut self, now: Duration, report: &Report) {
+        self.note_birth(now, report.born_unix_ms);
         let runs = report.runs.iter();
         let runs: HashMap<&str, &Run> = runs.map(|run| (&*run.request_id, run)).collect();
         let (mut read, mut more) = (0, 0);
@@ -248,6 +255,32 @@
         }
     }
 
+    /// Forgets what a former start of the engine ran and kept, once another one reports.
+    ///
+    /// The load pattern: an engine ends under load and starts again under its name before anyone has missed it. It runs nothing
+    /// and keeps nothing, while its queue would hold all places for requests that are lost and take every part for kept.
+    fn note_birth(&mut self, now: Duration, born_unix_ms: Option<u64>) {
+        let Some(born) = born_unix_ms else {
+            return;
+        };
+        let before = self.engine_born_unix_ms.replace(born);
+        if before.is_none_or(|before| before == born) {
+            return;
+        }
+        self.engine_restarted = true;
+        self.cache = Cache::new(self.rules.kv_tokens);
+        for (id, running) in &mut self.running {
+            if !running.is_given_up {
+                running.is_given_up = true;
+                self.given_up += 1;
+                self.unread_tokens -= std::mem::take(&mut running.unread_tokens);
+                self.running_kv -= running.kv_tokens;
+            }
+            self.lost.push((*id, Duration::ZERO));
+        }
+        self.pace.read(now, 0, false);
+    }
+
     /// Gives the places of requests to others that the engine does not run any more, though no gateway said so.
     ///
     /// The load pattern: an endpoint runs requests and their answers are lost, or it drops them without a word. Their
@@ -307,7 +340,7 @@
 
     /// Decides on the asks that wait.
     pub fn decide(&mut self, now: Duration) -> Vec<Decision> {
-        self.is_young = now < ASSUME_KEPT;
+        self.is_young = now < ASSUME_KEPT && !self.engine_restarted;
         let mut decisions = Vec::new();
         self.turn_away(now, &mut decisions);
         while self.has_room() {
--- a/crates/admission/tests/queue.rs
+++ b/crates/admission/tests/queue.rs
@@ -296,6 +296,35 @@
         admission.ended(ms(1_000), 1);
         assert_eq!(admission.load().running, 0);
     }
+    an_engine_that_starts_again_runs_nothing_and_keeps_nothing => {
+        let mut admission = Admission::new(RULES);
+        let shared = Some((9, 8_000));
+        let born = |born_unix_ms| Report { born_unix_ms: Some(born_unix_ms), ..Report::default() };
+        admission.reported(ms(7_000), &born(100));
+        admission.ask(ms(7_000), 1, Ask { shared, ..ask("a", 9_000, 500) });
+        admission.decide(ms(7_000));
+        assert_eq!((admission.load().running, admission.load().unread_tokens), (1, 9_000));
+        admission.reported(ms(7_020), &born(100));
+        assert!(admission.take_lost().is_empty(), "the same start runs it still");
+        admission.reported(ms(7_040), &born(200));
+        assert_eq!(admission.take_lost(), [(1, Duration::ZERO)]);
+        assert_eq!((admission.load().running, admission.load().unread_tokens), (0, 0));
+        // The part went with the former start, though this queue had it read a moment ago.
+        admission.ask(ms(7_050), 2, Ask { shared, ..ask("a", 9_000, 500) });
+        admission.decide(ms(7_050));
+        assert_eq!(admission.load().unread_tokens, 9_000);
+        admission.ended(ms(7_060), 1);
+        assert_eq!((admission.load().running, admission.load().unread_tokens), (1, 9_000));
+    }
+    a_young_queue_does_not_take_parts_for_kept_once_its_engine_has_started_again => {
+        let mut admission = Admission::new(RULES);
+        let born = |born_unix_ms| Report { born_unix_ms: Some(born_unix_ms), ..Report::default() };
+        admission.reported(ms(100), &born(100));
+        admission.reported(ms(200), &born(200));
+        admission.ask(ms(300), 1, Ask { shared: Some((9, 8_000)), ..ask("a", 9_000, 500) });
+        admission.decide(ms(300));
+        assert_eq!(admission.load().unread_tokens, 9_000);
+    }
     a_request_that_is_listed_again_keeps_its_place => {
         let mut admission = Admission::new(RULES);
         admission.ask(ms(0), 1, Ask { request_id: "r".into(), ..ask("a", 5_000, 500) });
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -16,6 +16,7 @@
     config_version: Gauge<i64, AtomicI64>,
     members: Gauge<i64, AtomicI64>,
     open_orders: Gauge<i64, AtomicI64>,
+    refused_reports: Gauge<i64, AtomicI64>,
 }
 
 impl Metrics {
@@ -33,6 +34,10 @@
             ),
             members: registry.gauge("control_members", "Members listed"),
             open_orders: registry.gauge("control_open_orders", "Orders that are not answered"),
+            refused_reports: registry.gauge(
+                "control_refused_reports",
+                "Reports of endpoints that were refused here since the start",
+            ),
         }
     }
 
@@ -47,6 +52,8 @@
         self.open_orders
             .set(to_gauge(view.open_orders.len() as u64));
         let soft = core.soft();
+        self.refused_reports
+            .set(to_gauge(soft.refused_reports.count()));
         let members = soft.members.as_ref();
         let roster = members.map_or(&soft.followed, hinge_state::Members::roster);
         self.members.set(to_gauge(roster.len() as u64));
--- a/crates/control/src/routing_calls.rs
+++ b/crates/control/src/routing_calls.rs
@@ -12,9 +12,9 @@
     AskTable, CurrentTable, Endpoint, EndpointNoted, PutTable, ReportEndpoint, RetireEndpoint,
     RouteTable, RoutesUpdate, TableHeld, WatchRoutes,
 };
-use hinge_state::{Command, EndpointCommand, EndpointId, Reply};
-use hinge_telemetry::info;
+use hinge_state::{Command, EndpointCommand, Incarnation, Reply};
 use hinge_telemetry::log::Part;
+use hinge_telemetry::{info, warn};
 use http::StatusCode;
 use tokio::time::{Instant, timeout_at};
 use viz::Router;
@@ -30,6 +30,9 @@
 const REPORT: &str = "/endpoints/report";
 const RETIRE: &str = "/endpoints/retire";
 
+/// Why a report is refused that names another address, service or data centre than the same incarnation did before.
+const CONTRADICTS: &str = "it contradicts what the same start of the endpoint has said of itself";
+
 /// Path of a watch of routes and endpoints.
 pub const WATCH_ROUTES_PATH: &str = "/v1/routes/watch";
 
@@ -47,6 +50,15 @@
 
 impl std::error::Error for RoutingUnavailable {}
 
+/// Says what became of an endpoint's report that reached the leader.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Reported {
+    /// It is taken in, or tells nothing new; the leader listens at this address.
+    Taken(Box<str>),
+    /// It can't be true and changes nothing, for this cause.
+    Refused(Box<str>),
+}
+
 /// Gives an adapter the calls on routes and endpoints.
 #[derive(Debug, Clone)]
 pub struct RoutingCalls {
@@ -83,16 +95,37 @@
         Ok(current.table)
     }
 
-    /// Takes in an endpoint's report, and returns the address of the leader.
+    /// Takes in an endpoint's report, and returns what became of it.
     ///
     /// # Errors
     ///
     /// Returns an error when the report was not taken in for certain.
-    pub async fn report(&self, endpoint: Endpoint) -> Result<Box<str>, RoutingUnavailable> {
+    pub async fn report(&self, endpoint: Endpoint) -> Result<Reported, RoutingUnavailable> {
         let message = ReportEndpoint { endpoint };
         let answered = at_leader(self.core()?, REPORT, message, report_here).await;
         let noted: EndpointNoted = answered.map_err(unavailable)?;
-        Ok(noted.leader)
+        Ok(match noted.refused {
+            Some(cause) => Reported::Refused(cause),
+            None => Reported::Taken(noted.leader),
+        })
+    }
+
+    /// Counts word of an endpoint that can't be taken in, and writes a line of it unless one was written just now.
+    pub fn note_refused(&self, endpoint: &str, cause: &str) {
+        let Some(core) = self.core.get() else {
+            return;
+        };
+        let now = core.now();
+        let count = core.soft().refused_reports.note(now);
+        if let Some(count) = count {
+            warn!(
+                Part::Control,
+                "Refused a report.",
+                endpoint = endpoint,
+                cause = cause,
+                since_the_last_line = count
+            );
+        }
     }
 
     /// Notes that an endpoint takes no new work from now on.
@@ -100,8 +133,11 @@
     /// # Errors
     ///
     /// Returns an error when that was not noted for certain.
-    pub async fn retire(&self, id: EndpointId) -> Result<(), RoutingUnavailable> {
-        let message = RetireEndpoint { id };
+    pub async fn retire(&self, incarnation: Incarnation) -> Result<(), RoutingUnavailable> {
+        let message = RetireEndpoint {
+            id: incarnation.id,
+            born_unix_ms: incarnation.born_unix_ms,
+        };
         let answered = at_leader(self.core()?, RETIRE, message, retire_here).await;
         let _noted: EndpointNoted = answered.map_err(unavailable)?;
         Ok(())
@@ -179,13 +215,24 @@
         return Err(UNAVAILABLE);
     }
     let endpoint = message.endpoint;
-    let now = core.now();
-    core.soft().heard.note(now, &endpoint.id);
-    if core.driver.view.load().routing.is_news(&endpoint) {
+    let view = core.driver.view.load();
+    let routing = &view.routing;
+    if routing.contradicts(&endpoint) {
+        return Ok(EndpointNoted {
+            refused: Some(CONTRADICTS.into()),
+            ..noted(&core)
+        });
+    }
+    // Word of a former life must not keep a newer one listed that has fallen silent.
+    if !routing.is_of_the_past(&endpoint) {
+        core.soft().heard.note(core.now(), &endpoint.id);
+    }
+    if routing.is_news(&endpoint) {
         info!(
             Part::Control,
             "An endpoint reports news.",
             endpoint = endpoint.id,
+            born_unix_ms = endpoint.born_unix_ms.unwrap_or_default(),
             service = endpoint.service,
             address = endpoint.address,
             state = endpoint.state,
@@ -204,9 +251,20 @@
     core: Arc<Core>,
     message: RetireEndpoint,
 ) -> Result<EndpointNoted, StatusCode> {
-    if !core.driver.view.load().routing.is_retired(&message.id) {
-        info!(Part::Control, "An endpoint retires.", endpoint = message.id);
-        change(&core, EndpointCommand::Retire(message.id)).await?;
+    let incarnation = Incarnation {
+        id: message.id,
+        born_unix_ms: message.born_unix_ms,
+    };
+    let view = core.driver.view.load();
+    let ended = view.routing.meant(&incarnation);
+    if !view.routing.is_retired(&ended.id, ended.born_unix_ms) {
+        info!(
+            Part::Control,
+            "An endpoint retires.",
+            endpoint = ended.id,
+            born_unix_ms = ended.born_unix_ms.unwrap_or_default()
+        );
+        change(&core, EndpointCommand::Retire(ended)).await?;
     }
     Ok(noted(&core))
 }
@@ -219,6 +277,7 @@
 fn noted(core: &Core) -> EndpointNoted {
     EndpointNoted {
         leader: core.address.clone(),
+        refused: None,
     }
 }
 
--- a/crates/control/src/soft.rs
+++ b/crates/control/src/soft.rs
@@ -10,6 +10,8 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use crate::refused::RefusedReports;
+
 /// Pools whose sums are kept; a report on further ones is refused, so that wrong names can't fill the memory.
 pub(crate) const MAX_POOLS: usize = 256;
 
@@ -23,6 +25,8 @@
     pub(crate) totals: BTreeMap<Box<str>, Totals>,
     /// When the endpoints were last heard of.
     pub(crate) heard: Heard,
+    /// Reports of endpoints that this instance refused.
+    pub(crate) refused_reports: RefusedReports,
     pub(crate) rng: StdRng,
 }
 
@@ -34,6 +38,7 @@
             followed: Roster::default(),
             totals: BTreeMap::new(),
             heard: Heard::default(),
+            refused_reports: RefusedReports::default(),
             rng: StdRng::seed_from_u64(rand::random()),
         }
     }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -99,14 +99,12 @@
         },
     };
     let request = request(dialect, endpoint, outgoing, last_event);
-    // Only a request that may go on elsewhere gains from giving up; the answer of another one may still come.
-    let may_go_on = outgoing.may_go_on;
     let sent = tokio::select! {
         biased;
         sent = timeout_at(outgoing.ends_at, exchange(sender, request)) => sent,
-        () = in_use.lost(), if may_go_on => {
-            in_use.failed("the engine does not run the request any more");
-            return Attempt::Unknown("the engine does not run the request any more");
+        cause = in_use.lost(outgoing.may_go_on) => {
+            in_use.failed(cause);
+            return Attempt::Unknown(cause);
         }
     };
     let (sender, response) = match sent {
--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -8,13 +8,18 @@
 use hinge_routing::{Candidate, Standing, StandingRules};
 use hinge_schema::routing::{Endpoint as Described, EngineLoad};
 use hinge_telemetry::log::Part;
-use hinge_telemetry::warn;
-use tokio::time::Instant;
+use hinge_telemetry::{info, warn};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep};
 
 use crate::admit::{Admitter, Place};
 use crate::dialect::Load;
 use crate::pool::Pool;
 
+/// Time that is left to an answer once it is known that its endpoint has started again: what the former start sent may wait to be
+/// read, and a gateway that is short of processor time reads it within a few tens of milliseconds.
+const LAST_BYTES: Duration = Duration::from_millis(200);
+
 /// Age from which on a load that an endpoint told is no longer used; requests last about a second.
 const LOAD_AGE: Duration = Duration::from_millis(1500);
 
@@ -45,6 +50,8 @@
     /// The admission beside it, where there is one.
     pub(crate) admitter: Option<Admitter>,
     is_draining: AtomicBool,
+    /// Whether it has ended and started again, so that nothing that was sent to it runs any more.
+    has_restarted: watch::Sender<bool>,
     began: Instant,
     known: Mutex<Known>,
 }
@@ -55,6 +62,7 @@
             admitter,
             hash: hash(&described.id),
             is_draining: AtomicBool::new(false),
+            has_restarted: watch::Sender::new(false),
             described,
             pool: Pool::default(),
             began: Instant::now(),
@@ -68,6 +76,33 @@
         self.pool.clear();
     }
 
+    /// Notes that the endpoint has started again: this start of it takes no new work, and ends what it has.
+    pub(crate) fn started_again(&self) {
+        self.drain();
+        self.has_restarted.send_replace(true);
+        info!(
+            Part::Gateway,
+            "An endpoint has started again; what was sent to its former start has no known end.",
+            endpoint = self.described.id,
+            born_unix_ms = self.described.born_unix_ms.unwrap_or_default(),
+            running = self.lock().own_running
+        );
+    }
+
+    /// Waits until the endpoint has started again, and a while longer for what its former start has sent.
+    async fn restarted(&self) {
+        let mut restarted = self.has_restarted.subscribe();
+        let told = restarted.wait_for(|restarted| *restarted).await.is_ok();
+        assert!(told, "the sender is held here");
+        sleep(LAST_BYTES).await;
+    }
+
+    /// Returns whether a description is of this start of the endpoint.
+    pub(crate) fn is_same_start(&self, described: &Described) -> bool {
+        self.described.address == described.address
+            && self.described.born_unix_ms == described.born_unix_ms
+    }
+
     pub(crate) fn is_draining(&self) -> bool {
         self.is_draining.load(Ordering::Acquire)
     }
@@ -202,11 +237,23 @@
         self.tokens = 0;
     }
 
-    /// Waits until it is certain that the endpoint does not run the request any more.
-    pub(crate) async fn lost(&mut self) {
-        match &mut self.place {
-            Some(place) => place.lost().await,
-            None => std::future::pending().await,
+    /// Waits until it is certain that the endpoint does not run the request any more, and returns why.
+    ///
+    /// By the word of the admission alone only a request that may go on elsewhere gains from giving up, since the answer of
+    /// another one may still come; after a new start of the endpoint nothing comes. It may be dropped while it waits.
+    pub(crate) async fn lost(&mut self, may_go_on: bool) -> &'static str {
+        let Self {
+            endpoint, place, ..
+        } = self;
+        let no_longer_run = async {
+            match place {
+                Some(place) if may_go_on => place.lost().await,
+                Some(_) | None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            () = endpoint.restarted() => "the endpoint has started again",
+            () = no_longer_run => "the engine does not run the request any more",
         }
     }
 
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -101,7 +101,7 @@
         for described in list.endpoints {
             let is_ready = described.state == EndpointState::Ready;
             let known = held.by_id.get(&described.id);
-            let known = known.filter(|known| known.described.address == described.address);
+            let known = known.filter(|known| known.is_same_start(&described));
             let endpoint = known
                 .cloned()
                 .unwrap_or_else(|| Arc::new(self.endpoint(described)));
@@ -118,8 +118,10 @@
             by_id.insert(endpoint.described.id.clone(), endpoint);
         }
         for (id, endpoint) in &held.by_id {
-            if !by_id.contains_key(id) {
-                endpoint.drain();
+            match by_id.get(id) {
+                None => endpoint.drain(),
+                Some(next) if !Arc::ptr_eq(next, endpoint) => endpoint.started_again(),
+                Some(_same) => {}
             }
         }
         info!(
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -69,9 +69,10 @@
 /// Holds what has happened to a request so far.
 #[derive(Debug, Default)]
 pub(crate) struct Story {
-    tried: SmallVec<[Box<str>; 2]>,
+    /// Endpoints that were sent the request; one that starts again under its id is another one.
+    tried: SmallVec<[Arc<Endpoint>; 2]>,
     /// Endpoints whose admission has refused.
-    refused: SmallVec<[Box<str>; 2]>,
+    refused: SmallVec<[Arc<Endpoint>; 2]>,
     /// When the first admission that refused expects room.
     retry_after: Option<Duration>,
     waited_ms: u64,
@@ -135,8 +136,8 @@
             cause = self.cause,
             route = job.route.name,
             team = job.outgoing.team.as_deref().unwrap_or("-"),
-            endpoints = self.tried.join(","),
-            refused_by = self.refused.join(","),
+            endpoints = ids_of(&self.tried),
+            refused_by = ids_of(&self.refused),
             waited_ms = self.waited_ms,
             ahead_tokens = self.ahead_tokens,
             attempts = self.attempts,
@@ -151,6 +152,15 @@
     }
 }
 
+/// Returns the ids of some endpoints, for a log line.
+fn ids_of(endpoints: &[Arc<Endpoint>]) -> String {
+    let ids: SmallVec<[&str; 2]> = endpoints
+        .iter()
+        .map(|endpoint| &*endpoint.described.id)
+        .collect();
+    ids.join(",")
+}
+
 /// Says how the attempts at a request ended.
 pub(crate) enum Tried {
     Answered(Box<Answer>),
@@ -202,7 +212,7 @@
                 Admitted::Unasked => None,
                 Admitted::Refused { retry_after } => {
                     story.cause = "the admission refused";
-                    story.refused.push(endpoint.described.id.clone());
+                    story.refused.push(Arc::clone(&endpoint));
                     story.retry_after = Some(retry_after);
                     if story.refused.len() < MAX_ASKED {
                         continue;
@@ -210,8 +220,12 @@
                     return Tried::Refused(story.refusal(retry_after));
                 }
             };
-            if story.tried.last() != Some(&endpoint.described.id) {
-                story.tried.push(endpoint.described.id.clone());
+            let is_tried_again = story
+                .tried
+                .last()
+                .is_some_and(|last| Arc::ptr_eq(last, &endpoint));
+            if !is_tried_again {
+                story.tried.push(Arc::clone(&endpoint));
             }
             let dialect = &*self.gateway.dialect;
             let sent = attempt::send(dialect, &endpoint, &self.outgoing, last_event, place);
@@ -345,15 +359,16 @@
 
     /// Chooses an endpoint: one that was not tried and is not held out, if there is one.
     fn pick(&self, story: &mut Story) -> Option<Arc<Endpoint>> {
-        // An endpoint that has left since the request came takes no more of it.
-        let listed = self.fleet.of_service(&self.service);
+        // An endpoint that has left since the request came takes no more of it, and one that has started since then may.
+        let fleet = self.gateway.held.current();
+        let listed = fleet.of_service(&self.service);
         let listed: SmallVec<[&Arc<Endpoint>; 16]> = listed
             .iter()
             .filter(|endpoint| !endpoint.is_draining())
             .collect();
-        let is_new = |endpoint: &Endpoint| {
-            let id = &endpoint.described.id;
-            !story.tried.contains(id) && !story.refused.contains(id)
+        let is_new = |endpoint: &Arc<Endpoint>| {
+            let mut known = story.tried.iter().chain(&story.refused);
+            !known.any(|known| Arc::ptr_eq(known, endpoint))
         };
         let open = listed.iter().filter(|endpoint| endpoint.is_open());
         let open: SmallVec<[&Arc<Endpoint>; 16]> =
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -95,7 +95,7 @@
             biased;
             () = pieces.closed() => return Ended::CallerLeft,
             next = next_piece(&mut body, ends_at) => next,
-            () = in_use.lost(), if may_go_on => return Ended::Broken,
+            _cause = in_use.lost(may_go_on) => return Ended::Broken,
         };
         let piece = match next {
             Piece::Data(data) => match splitter.as_mut() {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -278,10 +278,19 @@
     story: &mut Story,
     answer: Answer,
 ) -> Result<Response<AnswerBody>, NotWhole> {
-    let (mut head, body) = answer.response.into_parts();
-    let body = read_whole(body, job.outgoing.ends_at).await?;
-    drop(answer.in_use);
-    answer.connection.keep();
+    let Answer {
+        response,
+        connection,
+        mut in_use,
+    } = answer;
+    let (mut head, body) = response.into_parts();
+    let body = tokio::select! {
+        biased;
+        body = read_whole(body, job.outgoing.ends_at) => body?,
+        _cause = in_use.lost(job.outgoing.may_go_on) => return Err(NotWhole::Broken),
+    };
+    drop(in_use);
+    connection.keep();
     strip_connection(&mut head.headers);
     story.note_piece(job);
     job.gateway.metrics.ended(job, outcome_of(head.status));
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -23,7 +23,7 @@
 pub use folder::{Change, Folder};
 pub use members::{MemberRules, Members};
 pub use roster::Roster;
-pub use routing::{EndpointCommand, EndpointId, Heard, Routing};
+pub use routing::{Born, EndpointCommand, EndpointId, Heard, Incarnation, Routing};
 pub use state::{ControlName, RestoreError, State};
 pub use upgrades::{UpgradeCommand, UpgradeStep, Upgrades};
 
--- a/crates/state/src/routing.rs
+++ b/crates/state/src/routing.rs
@@ -12,9 +12,45 @@
 use hinge_schema::routing::{Endpoint, EndpointList, EndpointState, RouteTable};
 use serde::{Deserialize, Serialize};
 
-/// Numbers one start of an endpoint.
+/// Names an endpoint; one that starts again may keep its name.
 pub type EndpointId = Box<str>;
 
+/// Unix millisecond of an endpoint's start; none where it does not say.
+pub type Born = Option<u64>;
+
+/// Names one start of an endpoint.
+///
+/// An incarnation knows nothing of the one before, and counts its reports anew; so whatever is compared or remembered of
+/// an endpoint is that of one incarnation. Of two with the same id the one that was born later is the newer one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "WrittenIncarnation")]
+pub struct Incarnation {
+    /// Endpoint.
+    pub id: EndpointId,
+    /// When it started.
+    pub born_unix_ms: Born,
+}
+
+/// Reads an incarnation as it stands in logs and snapshots; older ones hold the id alone.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum WrittenIncarnation {
+    Id(EndpointId),
+    Whole { id: EndpointId, born_unix_ms: Born },
+}
+
+impl From<WrittenIncarnation> for Incarnation {
+    fn from(written: WrittenIncarnation) -> Self {
+        match written {
+            WrittenIncarnation::Id(id) => Self {
+                id,
+                born_unix_ms: None,
+            },
+            WrittenIncarnation::Whole { id, born_unix_ms } => Self { id, born_unix_ms },
+        }
+    }
+}
+
 /// Ended endpoints that are remembered; a late report of one of them changes nothing. Several nights of replacing a
 /// fleet of 1,600 endpoints would be needed to push one out while its reports are still on their way.
 const KEEP_RETIRED: usize = 4096;
@@ -31,8 +67,9 @@
 pub enum EndpointCommand {
     /// Notes an endpoint as it has reported itself.
     Note(Endpoint),
-    /// Forgets an endpoint that has ended or is about to; its later reports change nothing.
-    Retire(EndpointId),
+    /// Forgets an incarnation that has ended or is about to; its later reports change nothing. One that does not say when it
+    /// was born means the one that is known.
+    Retire(Incarnation),
     /// Drops an endpoint that is silent; a later report brings it back.
     Drop(EndpointId),
 }
@@ -42,7 +79,7 @@
 pub struct Routing {
     table: Option<Arc<RouteTable>>,
     endpoints: Arc<BTreeMap<EndpointId, Endpoint>>,
-    retired: VecDeque<EndpointId>,
+    retired: VecDeque<Incarnation>,
     /// Place in the log of the last change of the endpoints.
     endpoints_version: u64,
 }
@@ -83,10 +120,10 @@
     /// Returns whether a report changes anything beyond being heard.
     #[must_use]
     pub fn is_news(&self, report: &Endpoint) -> bool {
-        if self.retired.contains(&report.id) {
+        if self.is_of_the_past(report) || self.contradicts(report) {
             return false;
         }
-        let Some(known) = self.endpoints.get(&report.id) else {
+        let Some(known) = self.same_incarnation(report) else {
             return true;
         };
         let is_late = report.sequence <= known.sequence;
@@ -96,17 +133,51 @@
         }
         // How long an endpoint is still warming up runs down by itself, so a new value of it is no news.
         known.state != report.state
-            || known.service != report.service
-            || known.address != report.address
-            || known.data_center != report.data_center
             || known.software_version != report.software_version
             || known.slots != report.slots
     }
 
-    /// Returns whether an endpoint's end was noted already.
+    /// Returns whether a report is of an incarnation that has ended, or that a newer one has followed.
     #[must_use]
-    pub fn is_retired(&self, id: &str) -> bool {
-        self.retired.iter().any(|retired| **retired == *id)
+    pub fn is_of_the_past(&self, report: &Endpoint) -> bool {
+        let known = self.endpoints.get(&report.id);
+        let is_followed = known.is_some_and(|known| known.born_unix_ms > report.born_unix_ms);
+        is_followed || self.is_retired(&report.id, report.born_unix_ms)
+    }
+
+    /// Returns whether a report tells what the incarnation that it names can't have become: another writer has sent it.
+    ///
+    /// A process does not move to another address or service while it runs. Taken in, such a report would take a sound endpoint out.
+    #[must_use]
+    pub fn contradicts(&self, report: &Endpoint) -> bool {
+        self.same_incarnation(report).is_some_and(|known| {
+            known.service != report.service
+                || known.address != report.address
+                || known.data_center != report.data_center
+        })
+    }
+
+    fn same_incarnation(&self, report: &Endpoint) -> Option<&Endpoint> {
+        let known = self.endpoints.get(&report.id);
+        known.filter(|known| known.born_unix_ms == report.born_unix_ms)
+    }
+
+    /// Returns whether the end of an incarnation, or of one that followed it, was noted already.
+    #[must_use]
+    pub fn is_retired(&self, id: &str, born: Born) -> bool {
+        let mut ends = self.retired.iter();
+        ends.any(|ended| *ended.id == *id && born <= ended.born_unix_ms)
+    }
+
+    /// Returns the incarnation that an end means: the one that it names, or else the one that is known.
+    #[must_use]
+    pub fn meant(&self, end: &Incarnation) -> Incarnation {
+        let known = self.endpoints.get(&end.id);
+        let born = known.and_then(|known| known.born_unix_ms);
+        Incarnation {
+            id: end.id.clone(),
+            born_unix_ms: end.born_unix_ms.or(born),
+        }
     }
 
     /// Puts a table in force if its number is higher than any before; returns the number in force.
@@ -121,7 +192,7 @@
     pub fn apply(&mut self, index: u64, command: EndpointCommand) {
         let changes = match command {
             EndpointCommand::Note(endpoint) => self.note(endpoint),
-            EndpointCommand::Retire(id) => self.retire(id),
+            EndpointCommand::Retire(incarnation) => self.retire(&incarnation),
             EndpointCommand::Drop(id) => Arc::make_mut(&mut self.endpoints).remove(&id).is_some(),
         };
         if changes {
@@ -137,16 +208,21 @@
         is_news
     }
 
-    fn retire(&mut self, id: EndpointId) -> bool {
-        if self.is_retired(&id) {
+    fn retire(&mut self, end: &Incarnation) -> bool {
+        let ended = self.meant(end);
+        if self.is_retired(&ended.id, ended.born_unix_ms) {
             return false;
         }
-        let was_known = Arc::make_mut(&mut self.endpoints).remove(&id).is_some();
-        self.retired.push_back(id);
+        let known = self.endpoints.get(&ended.id);
+        let ends_known = known.is_some_and(|known| known.born_unix_ms <= ended.born_unix_ms);
+        if ends_known {
+            Arc::make_mut(&mut self.endpoints).remove(&ended.id);
+        }
+        self.retired.push_back(ended);
         if self.retired.len() > KEEP_RETIRED {
             self.retired.pop_front();
         }
-        was_known
+        ends_known
     }
 }
 
--- a/crates/state/tests/routing.rs
+++ b/crates/state/tests/routing.rs
@@ -5,7 +5,7 @@
 use hinge_cases::cases;
 use hinge_schema::routing::{CallerLimits, Endpoint, EndpointState, RouteTable};
 use hinge_state::routing::SILENCE;
-use hinge_state::{Command, EndpointCommand, Heard, Reply, State};
+use hinge_state::{Command, EndpointCommand, Heard, Incarnation, Reply, State};
 use quickcheck::quickcheck;
 use serde_bytes::ByteBuf;
 
@@ -29,6 +29,7 @@
 fn endpoint(id: &str, sequence: u64) -> Endpoint {
     Endpoint {
         id: id.into(),
+        born_unix_ms: None,
         service: "llm".into(),
         address: ([10, 0, 0, 1], 8_080).into(),
         data_center: "a".into(),
@@ -47,6 +48,28 @@
     }
 }
 
+/// Describes a report of an endpoint that was born at some millisecond.
+fn born(id: &str, born_unix_ms: u64, sequence: u64) -> Endpoint {
+    Endpoint {
+        born_unix_ms: Some(born_unix_ms),
+        ..endpoint(id, sequence)
+    }
+}
+
+fn end(id: &str, born_unix_ms: Option<u64>) -> EndpointCommand {
+    EndpointCommand::Retire(Incarnation {
+        id: id.into(),
+        born_unix_ms,
+    })
+}
+
+/// Returns the birth and the state of an endpoint that is listed.
+fn listed(state: &State, id: &str) -> Option<(Option<u64>, EndpointState)> {
+    let list = state.routing().list();
+    let found = list.endpoints.iter().find(|endpoint| *endpoint.id == *id);
+    found.map(|endpoint| (endpoint.born_unix_ms, endpoint.state))
+}
+
 fn put(state: &mut State, number: u64, document: &str) -> Reply {
     let index = state.applied_index() + 1;
     state.apply(
@@ -81,11 +104,11 @@
         let mut state = State::default();
         put(&mut state, 5, "five");
         change(&mut state, EndpointCommand::Note(endpoint("e", 1)));
-        change(&mut state, EndpointCommand::Retire("gone".into()));
+        change(&mut state, end("gone", None));
         let restored = State::restore(&state.encode()).expect("a snapshot can be read");
         assert_eq!(restored.routing().table(), state.routing().table());
         assert_eq!(restored.routing().list(), state.routing().list());
-        assert!(restored.routing().is_retired("gone"));
+        assert!(restored.routing().is_retired("gone", None));
     }
     a_late_report_does_not_end_a_drain => {
         let mut state = State::default();
@@ -99,14 +122,92 @@
     a_late_report_does_not_revive_an_endpoint_that_has_retired => {
         let mut state = State::default();
         change(&mut state, EndpointCommand::Note(endpoint("e", 4)));
-        change(&mut state, EndpointCommand::Retire("e".into()));
+        change(&mut state, end("e", None));
         change(&mut state, EndpointCommand::Note(endpoint("e", 9)));
         assert_eq!(state_of(&state, "e"), None);
         // One whose end overtook its first report stays away as well.
-        change(&mut state, EndpointCommand::Retire("f".into()));
+        change(&mut state, end("f", None));
         change(&mut state, EndpointCommand::Note(endpoint("f", 1)));
         assert_eq!(state_of(&state, "f"), None);
     }
+    an_endpoint_that_starts_again_under_its_id_is_taken_in_though_it_counts_anew => {
+        let mut state = State::default();
+        change(&mut state, EndpointCommand::Note(born("e", 100, 900)));
+        change(&mut state, EndpointCommand::Note(born("e", 200, 1)));
+        assert_eq!(listed(&state, "e"), Some((Some(200), EndpointState::Ready)));
+        // A late report of the former start changes nothing, whatever its number.
+        assert!(!state.routing().is_news(&born("e", 100, 901)));
+        change(&mut state, EndpointCommand::Note(born("e", 100, 901)));
+        assert_eq!(listed(&state, "e"), Some((Some(200), EndpointState::Ready)));
+    }
+    a_drain_ends_with_the_incarnation_that_drains => {
+        let mut state = State::default();
+        change(&mut state, EndpointCommand::Note(born("e", 100, 5)));
+        change(&mut state, EndpointCommand::Note(Endpoint {
+            state: EndpointState::Draining,
+            ..born("e", 100, 6)
+        }));
+        change(&mut state, EndpointCommand::Note(born("e", 100, 7)));
+        assert_eq!(listed(&state, "e"), Some((Some(100), EndpointState::Draining)));
+        change(&mut state, EndpointCommand::Note(born("e", 200, 1)));
+        assert_eq!(listed(&state, "e"), Some((Some(200), EndpointState::Ready)));
+    }
+    an_end_holds_for_the_incarnation_that_ended_and_those_before_it => {
+        let mut state = State::default();
+        change(&mut state, EndpointCommand::Note(born("e", 100, 5)));
+        change(&mut state, end("e", Some(100)));
+        assert_eq!(listed(&state, "e"), None);
+        change(&mut state, EndpointCommand::Note(born("e", 100, 6)));
+        change(&mut state, EndpointCommand::Note(born("e", 90, 7)));
+        change(&mut state, EndpointCommand::Note(endpoint("e", 8)));
+        assert_eq!(listed(&state, "e"), None);
+        change(&mut state, EndpointCommand::Note(born("e", 200, 1)));
+        assert_eq!(listed(&state, "e"), Some((Some(200), EndpointState::Ready)));
+        // A late end of the former start does not take the new one away.
+        change(&mut state, end("e", Some(100)));
+        assert_eq!(listed(&state, "e"), Some((Some(200), EndpointState::Ready)));
+    }
+    an_end_that_names_no_birth_means_the_incarnation_that_is_known => {
+        let mut state = State::default();
+        change(&mut state, EndpointCommand::Note(born("e", 100, 5)));
+        change(&mut state, end("e", None));
+        change(&mut state, EndpointCommand::Note(born("e", 100, 6)));
+        assert_eq!(listed(&state, "e"), None);
+        change(&mut state, EndpointCommand::Note(born("e", 200, 1)));
+        assert_eq!(listed(&state, "e"), Some((Some(200), EndpointState::Ready)));
+    }
+    a_report_that_contradicts_its_incarnation_changes_nothing => {
+        let mut state = State::default();
+        change(&mut state, EndpointCommand::Note(born("e", 100, 5)));
+        let elsewhere = Endpoint { address: ([10, 9, 9, 9], 1).into(), ..born("e", 100, 6) };
+        let renamed = Endpoint { service: "other".into(), ..born("e", 100, 7) };
+        for report in [elsewhere, renamed] {
+            assert!(state.routing().contradicts(&report));
+            change(&mut state, EndpointCommand::Note(report));
+        }
+        let list = state.routing().list();
+        assert_eq!(list.endpoints, [born("e", 100, 5)]);
+        // A newer incarnation may listen anywhere.
+        let moved = Endpoint { address: ([10, 9, 9, 9], 1).into(), ..born("e", 200, 1) };
+        assert!(!state.routing().contradicts(&moved));
+        assert!(state.routing().is_news(&moved));
+    }
+    word_of_a_former_start_is_told_from_word_of_the_present_one => {
+        let mut state = State::default();
+        change(&mut state, EndpointCommand::Note(born("e", 200, 5)));
+        assert!(state.routing().is_of_the_past(&born("e", 100, 9)));
+        assert!(state.routing().is_of_the_past(&endpoint("e", 9)));
+        assert!(!state.routing().is_of_the_past(&born("e", 200, 1)));
+        assert!(!state.routing().is_of_the_past(&born("e", 300, 1)));
+    }
+    ends_in_older_snapshots_are_read => {
+        let written = rmp_serde::to_vec_named(&"gone").expect("text can be written");
+        let read: Incarnation = rmp_serde::from_slice(&written).expect("an older end is read");
+        assert_eq!(read, Incarnation { id: "gone".into(), born_unix_ms: None });
+        let written = rmp_serde::to_vec_named(&Incarnation { id: "e".into(), born_unix_ms: Some(7) });
+        let read: Incarnation = rmp_serde::from_slice(&written.expect("it can be written")).expect("an end is read");
+        assert_eq!(read, Incarnation { id: "e".into(), born_unix_ms: Some(7) });
+    }
     a_report_without_news_is_none => {
         let mut state = State::default();
         change(&mut state, EndpointCommand::Note(endpoint("e", 1)));
@@ -164,6 +265,22 @@
         state.routing().table_number() == highest
     }
 
+    fn a_newer_incarnation_is_never_followed_by_an_older_one(reports: Vec<(u8, u8, bool)>) -> bool {
+        let mut state = State::default();
+        let mut newest = None;
+        reports.iter().all(|(birth, sequence, ends)| {
+            let birth = u64::from(*birth % 8);
+            let before = listed(&state, "e");
+            change(&mut state, if *ends {
+                end("e", Some(birth))
+            } else {
+                EndpointCommand::Note(born("e", birth, u64::from(*sequence)))
+            });
+            newest = newest.max(before.and_then(|(birth, _)| birth));
+            listed(&state, "e").is_none_or(|(birth, _)| birth >= newest)
+        })
+    }
+
     fn the_list_changes_only_forwards(commands: Vec<(u8, u8, u8)>) -> bool {
         let mut state = State::default();
         commands.iter().all(|(id, kind, sequence)| {
@@ -173,7 +290,7 @@
             change(&mut state, match kind % 4 {
                 0 => EndpointCommand::Note(endpoint(&id, sequence)),
                 1 => EndpointCommand::Note(draining(&id, sequence)),
-                2 => EndpointCommand::Retire(id.as_str().into()),
+                2 => end(&id, None),
                 _ => EndpointCommand::Drop(id.as_str().into()),
             });
             let after = state.routing();
