Copy the shared parts of a prompt that leaves its home, in place of reading them again

Ruled out: a second home (memory turns over before either is used again).

Change: the request names the sound endpoint that is first in rank for its parts, and the engine copies from there what it lacks. Nothing is copied where the figures of the route table (bytes of a token, link) make it slower than reading, nor from an endpoint that is held out or whose admission is silent.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,5 +1,6 @@
 //! Sends a request to one endpoint and reads the head of its answer.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -81,6 +82,7 @@
     endpoint: &Arc<Endpoint>,
     outgoing: &Outgoing,
     last_event: Option<u64>,
+    fetch_from: Option<SocketAddr>,
     place: Option<Place>,
 ) -> Attempt {
     let mut in_use = endpoint.begin(outgoing.prompt_tokens, place);
@@ -98,7 +100,7 @@
             Err(_elapsed) => return Attempt::NotSent,
         },
     };
-    let request = request(dialect, endpoint, outgoing, last_event);
+    let request = request(dialect, endpoint, outgoing, last_event, fetch_from);
     let sent = tokio::select! {
         biased;
         sent = timeout_at(outgoing.ends_at, exchange(sender, request)) => sent,
@@ -132,6 +134,7 @@
     endpoint: &Endpoint,
     outgoing: &Outgoing,
     last_event: Option<u64>,
+    fetch_from: Option<SocketAddr>,
 ) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(outgoing.body.clone()));
     *request.method_mut() = outgoing.method.clone();
@@ -142,6 +145,7 @@
         team: outgoing.team.as_deref(),
         remaining: outgoing.ends_at.saturating_duration_since(Instant::now()),
         last_event,
+        fetch_from,
     };
     dialect.write_request(request.headers_mut(), &forward);
     request
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -1,6 +1,7 @@
 //! Defines what a gateway must know of the headers on the wire.
 
 use std::fmt::Debug;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use hinge_routing::Prompt;
@@ -32,6 +33,8 @@
     pub remaining: Duration,
     /// Last event that the caller has.
     pub last_event: Option<u64>,
+    /// Engine from which it copies what that one keeps of the prompt, before it reads the rest.
+    pub fetch_from: Option<SocketAddr>,
 }
 
 /// Holds an endpoint's load as it told it.
--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -179,6 +179,13 @@
         known.since_engine = 0;
     }
 
+    /// Returns whether the admission beside it has told its load lately, so that it is there and can be reached.
+    pub(crate) fn has_fresh_load(&self) -> bool {
+        let known = self.lock();
+        let told_at = known.engine.as_ref().map(|(_, told_at)| told_at);
+        told_at.is_some_and(|told_at| told_at.elapsed() < LOAD_AGE)
+    }
+
     /// Returns what a team has used there lately, in tokens, as far as it was told.
     pub(crate) fn used_by(&self, team: &str) -> u64 {
         let known = self.lock();
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -1,10 +1,11 @@
 //! Makes the attempts at one request: chooses an endpoint, asks for a place, sends, and judges what became of it.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use hinge_routing::{Candidate, Prompt, choose, choose_idle};
-use hinge_schema::routing::{AdmitAsk, Route};
+use hinge_routing::{Candidate, Prompt, Source, choose, choose_idle, copy_time, fetch_source};
+use hinge_schema::routing::{AdmitAsk, Engine, Route};
 use hinge_telemetry::log::{Level, Part};
 use hinge_telemetry::record;
 use http::StatusCode;
@@ -58,8 +59,8 @@
     pub(crate) outgoing: Outgoing,
     pub(crate) prompt: Option<Prompt>,
     pub(crate) last_event: Option<u64>,
-    /// Whether the service's endpoints are model engines.
-    pub(crate) has_engine: bool,
+    /// What is known of the service's model engines, if its endpoints are some.
+    pub(crate) engine: Option<Engine>,
     pub(crate) rank: u32,
     /// Its place among the requests that this gateway has under way; plain requests need none.
     pub(crate) _running: Option<Running>,
@@ -75,6 +76,8 @@
     refused: SmallVec<[Arc<Endpoint>; 2]>,
     /// When the first admission that refused expects room.
     retry_after: Option<Duration>,
+    /// Engine from which the last one that was sent the request copies the shared parts.
+    fetched_from: Option<SocketAddr>,
     waited_ms: u64,
     ahead_tokens: u32,
     /// Attempts that reached an endpoint.
@@ -138,6 +141,9 @@
             team = job.outgoing.team.as_deref().unwrap_or("-"),
             endpoints = ids_of(&self.tried),
             refused_by = ids_of(&self.refused),
+            fetched_from = self
+                .fetched_from
+                .map_or_else(String::new, |from| from.to_string()),
             waited_ms = self.waited_ms,
             ahead_tokens = self.ahead_tokens,
             attempts = self.attempts,
@@ -228,7 +234,10 @@
                 story.tried.push(Arc::clone(&endpoint));
             }
             let dialect = &*self.gateway.dialect;
-            let sent = attempt::send(dialect, &endpoint, &self.outgoing, last_event, place);
+            let fetch_from = self.fetch_source(&endpoint);
+            story.fetched_from = fetch_from;
+            let outgoing = &self.outgoing;
+            let sent = attempt::send(dialect, &endpoint, outgoing, last_event, fetch_from, place);
             match sent.await {
                 Attempt::Answered(answer) => {
                     story.attempts += 1;
@@ -289,7 +298,7 @@
         let (Some(admitter), Some(prompt)) = (&endpoint.admitter, &self.prompt) else {
             return Admitted::Unasked;
         };
-        if !self.has_engine {
+        if self.engine.is_none() {
             return Admitted::Unasked;
         }
         let engines = self.fleet.of_service(&self.service).len();
@@ -357,6 +366,27 @@
         self.outgoing.body.len() as u64 + HEAD_BYTES + u64::from(answer_tokens) * TOKEN_BYTES
     }
 
+    /// Returns the engine from which an endpoint copies the shared parts of the prompt; none where it is their home itself.
+    fn fetch_source(&self, endpoint: &Endpoint) -> Option<SocketAddr> {
+        let engine = self.engine.as_ref()?;
+        let prompt = self.prompt.as_ref().filter(|_| self.route.prompts)?;
+        let copy_token = copy_time(engine.token_bytes?, engine.link_mbps?)?;
+        let fleet = self.gateway.held.current();
+        let listed = fleet.of_service(&self.service).iter();
+        let sound: SmallVec<[&Arc<Endpoint>; 16]> = listed
+            .filter(|listed| listed.is_open() && listed.has_fresh_load())
+            .collect();
+        let sources: SmallVec<[Source; 16]> = sound
+            .iter()
+            .map(|endpoint| Source {
+                hash: endpoint.hash,
+            })
+            .collect();
+        let place = fetch_source(&sources, prompt, copy_token)?;
+        let source = sound[place].described.address;
+        (source != endpoint.described.address).then_some(source)
+    }
+
     /// Chooses an endpoint: one that was not tried and is not held out, if there is one.
     fn pick(&self, story: &mut Story) -> Option<Arc<Endpoint>> {
         // An endpoint that has left since the request came takes no more of it, and one that has started since then may.
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use hinge_routing::{Lookup, Overloaded};
-use hinge_schema::routing::{RequestKind, Route};
+use hinge_schema::routing::{Engine, RequestKind, Route};
 use hinge_telemetry::info;
 use hinge_telemetry::log::Part;
 use http::header::{CONNECTION, CONTENT_TYPE, HOST};
@@ -45,7 +45,7 @@
         service,
         team,
         rank,
-        has_engine,
+        engine,
     } = match found {
         Ok(found) => found,
         Err(refusal) => return refuse_early(&gateway, &fleet, &facts, &parts, refusal),
@@ -59,7 +59,7 @@
         Ok(body) => body,
         Err(refusal) => return refuse_early(&gateway, &fleet, &facts, &parts, refusal),
     };
-    let running = match take_place(&gateway, has_engine, team.as_deref()) {
+    let running = match take_place(&gateway, engine.is_some(), team.as_deref()) {
         Ok(running) => running,
         Err(overloaded) => {
             let refusal = Refusal::Overloaded(overloaded);
@@ -76,7 +76,7 @@
         route,
         service,
         prompt: facts.prompt,
-        has_engine,
+        engine,
         rank,
         _running: running,
         last_event: facts.last_event,
@@ -113,7 +113,8 @@
     team: Option<Box<str>>,
     /// Rank of the team, or else of the route.
     rank: u32,
-    has_engine: bool,
+    /// Engines of the service, if it has any.
+    engine: Option<Engine>,
 }
 
 /// Finds the route, the service and the team of a request.
@@ -138,7 +139,7 @@
         rank: team
             .and_then(|team| team.priority)
             .unwrap_or(route.priority),
-        has_engine: service.is_some_and(|service| service.engine.is_some()),
+        engine: service.and_then(|service| service.engine.clone()),
         route: route.clone(),
     })
 }
