List no endpoint at whose address another one has reported itself since

Cause: when all machines lose power, engines come back at their addresses under new ids, and the former ids stay listed until they have been silent for seconds.

Ruled out: dropping the former one at once, since a late report of it would bring it back before the new one.

Change: the log notes which endpoint has replaced which at its address, and the list for the gateways leaves replaced ones out while the newer one is known. A late report of a replaced one turns nothing round.

--- a/crates/state/src/routing.rs
+++ b/crates/state/src/routing.rs
@@ -79,6 +79,9 @@
 pub struct Routing {
     table: Option<Arc<RouteTable>>,
     endpoints: Arc<BTreeMap<EndpointId, Endpoint>>,
+    /// Endpoints at whose address another one has reported itself since, and that other one.
+    #[serde(default)]
+    replaced: BTreeMap<EndpointId, EndpointId>,
     retired: VecDeque<Incarnation>,
     /// Place in the log of the last change of the endpoints.
     endpoints_version: u64,
@@ -103,15 +106,28 @@
         self.endpoints_version
     }
 
-    /// Returns the endpoints as a list for the gateways.
+    /// Returns the endpoints as a list for the gateways, without those that another one has replaced at their address.
+    ///
+    /// The load pattern: all engines lose power and come back at their addresses under new ids. The former ones are listed until
+    /// they have been silent for seconds; each gateway would send requests to every one of them to learn that it is gone, and a
+    /// request that may be sent once is lost by that.
     #[must_use]
     pub fn list(&self) -> EndpointList {
+        let endpoints = self.endpoints.values();
+        let present = endpoints.filter(|endpoint| !self.is_replaced(endpoint));
         EndpointList {
             version: self.endpoints_version,
-            endpoints: self.endpoints.values().cloned().collect(),
+            endpoints: present.cloned().collect(),
         }
     }
 
+    /// Returns whether another endpoint has reported itself at an endpoint's address since, and is still known there.
+    fn is_replaced(&self, endpoint: &Endpoint) -> bool {
+        let next = self.replaced.get(&endpoint.id);
+        let next = next.and_then(|next| self.endpoints.get(next));
+        next.is_some_and(|next| next.address == endpoint.address)
+    }
+
     /// Returns the numbers of all endpoints.
     pub fn ids(&self) -> impl Iterator<Item = &EndpointId> {
         self.endpoints.keys()
@@ -193,7 +209,7 @@
         let changes = match command {
             EndpointCommand::Note(endpoint) => self.note(endpoint),
             EndpointCommand::Retire(incarnation) => self.retire(&incarnation),
-            EndpointCommand::Drop(id) => Arc::make_mut(&mut self.endpoints).remove(&id).is_some(),
+            EndpointCommand::Drop(id) => self.forget(&id),
         };
         if changes {
             self.endpoints_version = index;
@@ -201,11 +217,32 @@
     }
 
     fn note(&mut self, endpoint: Endpoint) -> bool {
-        let is_news = self.is_news(&endpoint);
-        if is_news {
-            Arc::make_mut(&mut self.endpoints).insert(endpoint.id.clone(), endpoint);
+        if !self.is_news(&endpoint) {
+            return false;
+        }
+        if self.same_incarnation(&endpoint).is_none() {
+            self.note_replaced(&endpoint);
         }
-        is_news
+        Arc::make_mut(&mut self.endpoints).insert(endpoint.id.clone(), endpoint);
+        true
+    }
+
+    /// Notes the endpoints that a new one replaces: two processes can't listen at one address.
+    ///
+    /// A late report of a replaced one, which is still known, does not turn this round.
+    fn note_replaced(&mut self, new: &Endpoint) {
+        self.replaced.remove(&new.id);
+        let others = self.endpoints.values();
+        let replaced = others.filter(|other| other.address == new.address && other.id != new.id);
+        for other in replaced {
+            self.replaced.insert(other.id.clone(), new.id.clone());
+        }
+    }
+
+    /// Removes an endpoint, and returns whether it was known.
+    fn forget(&mut self, id: &EndpointId) -> bool {
+        self.replaced.remove(id);
+        Arc::make_mut(&mut self.endpoints).remove(id).is_some()
     }
 
     fn retire(&mut self, end: &Incarnation) -> bool {
@@ -216,7 +253,7 @@
         let known = self.endpoints.get(&ended.id);
         let ends_known = known.is_some_and(|known| known.born_unix_ms <= ended.born_unix_ms);
         if ends_known {
-            Arc::make_mut(&mut self.endpoints).remove(&ended.id);
+            self.forget(&ended.id);
         }
         self.retired.push_back(ended);
         if self.retired.len() > KEEP_RETIRED {
--- a/crates/state/tests/routing.rs
+++ b/crates/state/tests/routing.rs
@@ -208,6 +208,35 @@
         let read: Incarnation = rmp_serde::from_slice(&written.expect("it can be written")).expect("an end is read");
         assert_eq!(read, Incarnation { id: "e".into(), born_unix_ms: Some(7) });
     }
+    an_endpoint_is_not_listed_once_another_one_reports_its_address => {
+        let mut state = State::default();
+        for number in 0..8_u8 {
+            let address = ([10, 0, 0, number], 8_080).into();
+            let old = Endpoint { address, ..endpoint(&format!("old-{number}"), 40) };
+            change(&mut state, EndpointCommand::Note(old));
+        }
+        // All lose power and come back at their addresses, within a second.
+        for number in 0..8_u8 {
+            let address = ([10, 0, 0, number], 8_080).into();
+            let new = Endpoint { address, ..endpoint(&format!("new-{number}"), 1) };
+            change(&mut state, EndpointCommand::Note(new));
+        }
+        let ids = |state: &State| {
+            let list = state.routing().list();
+            list.endpoints.into_iter().map(|endpoint| endpoint.id).collect::<Vec<_>>()
+        };
+        assert_eq!(ids(&state).len(), 8);
+        assert!(ids(&state).iter().all(|id| id.starts_with("new-")));
+        // A report of the former one that a cut has held up changes nothing.
+        let late = Endpoint { address: ([10, 0, 0, 0], 8_080).into(), ..draining("old-0", 41) };
+        change(&mut state, EndpointCommand::Note(late));
+        assert!(!ids(&state).contains(&"old-0".into()));
+        // Where the newer one is gone, the older one is listed as it was; its own silence ends it.
+        change(&mut state, EndpointCommand::Drop("new-1".into()));
+        assert!(ids(&state).contains(&"old-1".into()));
+        change(&mut state, EndpointCommand::Drop("old-1".into()));
+        assert_eq!(ids(&state).len(), 7);
+    }
     a_report_without_news_is_none => {
         let mut state = State::default();
         change(&mut state, EndpointCommand::Note(endpoint("e", 1)));
@@ -232,6 +261,7 @@
         let mut state = State::default();
         change(&mut state, EndpointCommand::Note(endpoint("old", 1)));
         change(&mut state, EndpointCommand::Note(endpoint("new", 1)));
+        assert!(state_of(&state, "old").is_none());
         let mut heard = Heard::default();
         heard.note(Duration::ZERO, "old");
         for second in 1..=4 {
