--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -93,6 +93,8 @@
     Report(ReportOptions),
     /// tell what became of a request, and why, out of logs: explain ID LOG...
     Explain(ExplainOptions),
+    /// add up what each team had of the engines, and how busy they were, out of logs: shares LOG...
+    Shares(SharesOptions),
 }
 
 /// Takes a folder of *.toml files.
@@ -118,6 +120,17 @@
     pub(crate) logs: Vec<String>,
 }
 
+/// Adds up the decisions of the admissions by team, the gap in service between backlogged teams, and the use of the engines. Exits with 1
+/// when the logs hold no decision.
+#[derive(Debug, Options)]
+pub(crate) struct SharesOptions {
+    /// print this help
+    pub(crate) help: bool,
+    /// logs of the processes, a file each; - reads standard input
+    #[options(free)]
+    pub(crate) logs: Vec<String>,
+}
+
 /// Makes FOLDER the configuration in force. Exits with 3 when another change won.
 #[derive(Debug, Options)]
 pub(crate) struct ApplyOptions {
--- a/crates/ctl/src/commands/explain.rs
+++ b/crates/ctl/src/commands/explain.rs
@@ -1,29 +1,19 @@
 //! Tells the story of one request out of the logs of the processes.
 
 use std::fmt::{self, Display};
-use std::io::{self, Read};
-use std::path::Path;
 
 use serde::Serialize;
 
 use crate::args::ExplainOptions;
 use crate::exit::Exit;
 use crate::failure::Failure;
+use crate::logs::read_all;
 use crate::output::Output;
 use crate::story::{Story, tell};
 
-/// Name that stands for standard input.
-const STANDARD_INPUT: &str = "-";
-
 /// Runs `explain`.
 pub(crate) fn run(options: &ExplainOptions, output: &mut Output<'_, '_>) -> Result<Exit, Failure> {
-    if options.logs.is_empty() {
-        let message = "which logs? give a file for each process, or - for standard input";
-        return Err(Failure::invalid(message));
-    }
-    let logs = options.logs.iter().map(|name| read(name));
-    let logs = logs.collect::<Result<Vec<_>, _>>()?;
-    let story = tell(&options.id, &logs);
+    let story = tell(&options.id, &read_all(&options.logs)?);
     let exit = if story.lines.is_empty() {
         Exit::Failed
     } else {
@@ -33,21 +23,6 @@
     Ok(exit)
 }
 
-/// Reads one log, with the name of its process: that of the file without its ending.
-fn read(name: &str) -> Result<(Box<str>, String), Failure> {
-    let unusable =
-        |error: io::Error| Failure::failed(format!("the log {name} can't be read: {error}"));
-    if name == STANDARD_INPUT {
-        let mut bytes = Vec::new();
-        io::stdin().read_to_end(&mut bytes).map_err(unusable)?;
-        return Ok((name.into(), String::from_utf8_lossy(&bytes).into_owned()));
-    }
-    let bytes = std::fs::read(name).map_err(unusable)?;
-    let stem = Path::new(name).file_stem().unwrap_or_default();
-    let process = stem.to_string_lossy().into();
-    Ok((process, String::from_utf8_lossy(&bytes).into_owned()))
-}
-
 #[derive(Serialize)]
 struct Told {
     #[serde(flatten)]
--- a/crates/ctl/src/commands/mod.rs
+++ b/crates/ctl/src/commands/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod remove_control;
 pub(crate) mod report;
 pub(crate) mod rollback;
+pub(crate) mod shares;
 pub(crate) mod status;
 pub(crate) mod upgrade;
 pub(crate) mod wait;
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -11,8 +11,10 @@
 mod fleet;
 mod link;
 mod local;
+mod logs;
 mod output;
 mod scrape;
+mod shares;
 mod show;
 mod story;
 mod values;
@@ -102,5 +104,6 @@
         Command::Upgrade(options) => commands::upgrade::run(&options, &link, output).await,
         Command::Report(options) => commands::report::run(options, &link, output).await,
         Command::Explain(options) => commands::explain::run(&options, output),
+        Command::Shares(options) => commands::shares::run(&options, output),
     }
 }
--- a/crates/ctl/src/story.rs
+++ b/crates/ctl/src/story.rs
@@ -7,6 +7,8 @@
 use hinge_telemetry::parse::Line;
 use serde::Serialize;
 
+use crate::logs::{Logged, read_line};
+
 /// Key of a request's number, and sentence of the line that ends it.
 const ID: &str = "id";
 const END: &str = "Request.";
@@ -57,13 +59,7 @@
     pub(crate) gaps: Vec<Box<str>>,
 }
 
-struct Read {
-    process: Box<str>,
-    line: Line,
-    text: Box<str>,
-}
-
-impl Read {
+impl Logged {
     fn told(&self) -> Told {
         Told {
             time: self.line.time.clone(),
@@ -79,13 +75,13 @@
 
 /// Tells the story of a request out of logs, each with the name of its process.
 pub(crate) fn tell(id: &str, logs: &[(Box<str>, String)]) -> Story {
-    let mut all: Vec<Read> = logs
+    let mut all: Vec<Logged> = logs
         .iter()
-        .flat_map(|(process, log)| log.lines().filter_map(|text| read(process, text)))
+        .flat_map(|(process, log)| log.lines().filter_map(|text| read_line(process, text)))
         .collect();
     // Lines of one process keep their order where their times are equal.
     all.sort_by(|a, b| a.line.time.cmp(&b.line.time));
-    let own: Vec<&Read> = all.iter().filter(|read| read.is_of(id)).collect();
+    let own: Vec<&Logged> = all.iter().filter(|read| read.is_of(id)).collect();
     let end = own.iter().rev().find(|read| &*read.line.sentence == END);
     Story {
         id: id.into(),
@@ -96,24 +92,6 @@
     }
 }
 
-/// Reads a line; what stands before its time names its process, and else the log does.
-fn read(process: &str, text: &str) -> Option<Read> {
-    let mut start = 0;
-    loop {
-        if let Some(line) = Line::read(&text[start..]) {
-            let before = text[..start].trim();
-            let process = if before.is_empty() { process } else { before };
-            let level_at = start + line.time.len() + 1;
-            return Some(Read {
-                process: process.into(),
-                text: text[level_at..].into(),
-                line,
-            });
-        }
-        start += text[start..].find(' ')? + 1;
-    }
-}
-
 fn outcome(end: Option<&Line>, is_unknown: bool) -> Box<str> {
     let Some(end) = end else {
         let text = if is_unknown {
@@ -136,13 +114,13 @@
 }
 
 /// Returns the changes of belief of the processes that wrote of the request, and what went wrong elsewhere with its endpoints.
-fn around(all: &[Read], own: &[&Read]) -> Vec<Told> {
+fn around(all: &[Logged], own: &[&Logged]) -> Vec<Told> {
     let (Some(first), Some(last)) = (own.first(), own.last()) else {
         return Vec::new();
     };
     let from = earlier(&first.line.time, BEFORE);
     let met = endpoints(own);
-    let is_near = |read: &&Read| {
+    let is_near = |read: &&Logged| {
         let is_in_time = *from <= *read.line.time && read.line.time <= last.line.time;
         let endpoint = read.line.get("endpoint");
         let is_of_endpoint = endpoint.is_some_and(|endpoint| met.contains(&endpoint));
@@ -154,19 +132,19 @@
         let is_belief = read.line.get(ID).is_none() && read.line.level <= Level::Info;
         is_in_time && is_belief && concerns_it
     };
-    let mut near: Vec<&Read> = all.iter().filter(is_near).collect();
+    let mut near: Vec<&Logged> = all.iter().filter(is_near).collect();
     keep_last_of_each(&mut near);
     let skipped = near.len().saturating_sub(MOST_AROUND);
     near[skipped..].iter().map(|read| read.told()).collect()
 }
 
-fn is_among(own: &[&Read], process: &str) -> bool {
+fn is_among(own: &[&Logged], process: &str) -> bool {
     own.iter().any(|own| *own.process == *process)
 }
 
 /// Keeps only the last of the lines that a process writes once a second.
-fn keep_last_of_each(near: &mut Vec<&Read>) {
-    let mut kept: Vec<&Read> = Vec::with_capacity(near.len());
+fn keep_last_of_each(near: &mut Vec<&Logged>) {
+    let mut kept: Vec<&Logged> = Vec::with_capacity(near.len());
     for read in near.iter().rev() {
         let is_again = &*read.line.sentence == ENGINE
             && kept.iter().any(|later| {
@@ -181,7 +159,7 @@
 }
 
 /// Returns the endpoints that a request was sent to, or that were asked for a place.
-fn endpoints<'a>(own: &[&'a Read]) -> Vec<&'a str> {
+fn endpoints<'a>(own: &[&'a Logged]) -> Vec<&'a str> {
     let values = own
         .iter()
         .flat_map(|read| [read.line.get("endpoints"), read.line.get("refused_by")]);
@@ -190,7 +168,7 @@
 }
 
 /// Names what the logs lack of a request.
-fn gaps(all: &[Read], own: &[&Read], end: Option<&Read>) -> Vec<Box<str>> {
+fn gaps(all: &[Logged], own: &[&Logged], end: Option<&Logged>) -> Vec<Box<str>> {
     let mut gaps: Vec<Box<str>> = Vec::new();
     let (Some(first), Some(last)) = (own.first(), own.last()) else {
         return gaps;
