Let refused requests of teams that are behind ask up to three admissions

Ruled out: nearly idle engines alone; under load there is none.

Change: such a request may go to any engine that reads what it has before the answer must begin, and asks three admissions at most.

--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -36,6 +36,9 @@
 
 /// Rank that goes first.
 const FIRST_RANK: u32 = 0;
+/// Admissions that are asked for a request of a team that is behind.
+const MAX_ASKED_BEHIND: usize = 3;
+
 
 /// Longest pause after which a stream is worth going on: callers give one up after two seconds or more.
 const RESUME_BUDGET: Duration = Duration::from_secs(2);
@@ -220,7 +223,12 @@
                     story.cause = "the admission refused";
                     story.refused.push(Arc::clone(&endpoint));
                     story.retry_after = Some(retry_after);
-                    if story.refused.len() < MAX_ASKED {
+                    let max_asked = if self.is_behind() {
+                        MAX_ASKED_BEHIND
+                    } else {
+                        MAX_ASKED
+                    };
+                    if story.refused.len() < max_asked {
                         continue;
                     }
                     return Tried::Refused(story.refusal(retry_after));
@@ -359,6 +367,13 @@
 
     /// Returns about how many bytes of the request and its answer would leave the data centre.
     fn far_bytes(&self) -> u64 {
+    /// Returns how many tokens an engine reads before the answer must begin to be on time.
+    fn readable_in_time(&self) -> u32 {
+        let target = Duration::from_millis(self.route.target_latency_ms);
+        let left = target.saturating_sub(self.arrived.elapsed());
+        self.gateway.choice.readable_tokens(left)
+    }
+
         let answer_tokens = self
             .prompt
             .as_ref()
@@ -419,7 +434,13 @@
         let (far_bytes, draw) = (self.far_bytes(), rand::random());
         let most = self.gateway.max_spill_tokens;
         let was_refused = !story.refused.is_empty();
-        let place = if was_refused && self.is_behind() {
+        let is_behind = was_refused && self.is_behind();
+        let most = if is_behind {
+            self.readable_in_time().max(self.gateway.max_spill_tokens)
+        } else {
+            self.gateway.max_spill_tokens
+        };
+        let place = if is_behind {
             choose_idle(&candidates, prompt, far_bytes, rules, most, draw)
         } else {
             choose(&candidates, prompt, far_bytes, rules, draw)
--- a/crates/routing/src/choose.rs
+++ b/crates/routing/src/choose.rs
@@ -5,6 +5,8 @@
 //! which every gateway computes alike from the endpoints' ids (rendezvous hashing); a request goes to the cheapest home
 //! and leaves them only where their load costs more than reading the part anew.
 
+use std::time::Duration;
+
 use smallvec::SmallVec;
 
 /// Describes one part of a prompt.
@@ -111,6 +113,15 @@
 
 /// Returns the rank of an endpoint as a home of a shared part; the highest ones are its homes.
 #[must_use]
+impl ChoiceRules {
+    /// Returns how many tokens an engine reads in some time, as the choice weighs them.
+    #[must_use]
+    pub fn readable_tokens(&self, time: Duration) -> u32 {
+        let tokens = time.as_micros() / u128::from(self.token_us.max(1));
+        u32::try_from(tokens).unwrap_or(u32::MAX)
+    }
+}
+
 pub fn home_rank(key: u64, endpoint: u64) -> u64 {
     mix(key ^ mix(endpoint))
 }
--- a/crates/routing/tests/choice.rs
+++ b/crates/routing/tests/choice.rs
@@ -138,6 +138,23 @@
     }
     an_endpoint_is_held_out_after_failures_and_tried_by_one_request => {
         let rules = StandingRules::default();
+    a_refused_request_of_a_team_that_is_behind_finds_the_engine_that_reads_it_in_time => {
+        // Hot teams keep every engine busy, so that none is nearly idle; one reads what it has within the time that is left.
+        let rules = ChoiceRules::default();
+        let mut engines = engines(9);
+        for engine in &mut engines {
+            engine.unread_tokens = 24_000;
+        }
+        engines[6].unread_tokens = 9_000;
+        let prompt = prompt(5, 100);
+        let after = |time_ms| {
+            let most = rules.readable_tokens(Duration::from_millis(time_ms));
+            choose_idle(&engines, Some(&prompt), 10_000, &rules, most, 0)
+        };
+        assert_eq!(choose_idle(&engines, Some(&prompt), 10_000, &rules, 3_000, 0), None);
+        assert_eq!(after(500), Some(6));
+        assert_eq!(after(300), None, "its turn would come too late");
+    }
         let mut standing = Standing::default();
         let at = Duration::from_millis;
         assert_eq!(standing.failed(at(0), &rules), None);
