Remember at gateways where shared parts were read lately, and copy them from there

Change: a gateway remembers for six seconds which four engines had the shared parts last. Such an engine is as good a choice as the home, and the one used last is the source of a copy; the home is it where none is known. It costs no message.

--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -117,7 +117,7 @@
     }
 
     /// Describes it for the choice, with the age of its load in milliseconds.
-    pub(crate) fn candidate(&self, data_center: &str) -> (Candidate, u128) {
+    pub(crate) fn candidate(&self, data_center: &str, keeps_parts: bool) -> (Candidate, u128) {
         let known = self.lock();
         if let Some((load, told_at)) = &known.engine
             && told_at.elapsed() < LOAD_AGE
@@ -128,6 +128,7 @@
                 slots: self.described.slots,
                 unread_tokens: load.unread_tokens + load.waiting_tokens + known.since_engine,
                 is_near: self.is_in(data_center),
+                keeps_parts,
             };
             return (candidate, told_at.elapsed().as_millis());
         }
@@ -148,6 +149,7 @@
             slots: self.described.slots,
             unread_tokens: known.unread_tokens,
             is_near: self.is_in(data_center),
+            keeps_parts,
         };
         (candidate, age)
     }
@@ -228,6 +230,10 @@
 }
 
 impl Use {
+    pub(crate) fn endpoint(&self) -> &Endpoint {
+        &self.endpoint
+    }
+
     /// Notes the load that the endpoint told.
     pub(crate) fn saw_load(&self, load: Load) {
         let mut known = self.endpoint.lock();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,7 +9,9 @@
 
 use bytes::Bytes;
 use hinge_link::Client;
-use hinge_routing::{Budget, BudgetRules, ChoiceRules, Overload, OverloadRules};
+use hinge_routing::{
+    Budget, BudgetRules, ChoiceRules, EndpointHash, Holders, KeptParts, Overload, OverloadRules,
+};
 use hinge_telemetry::info;
 use hinge_telemetry::log::Part;
 use hinge_telemetry::metrics::Registry;
@@ -92,6 +94,7 @@
     budgets: Mutex<HashMap<Box<str>, Budget>>,
     /// By service.
     teams: Mutex<HashMap<Box<str>, Arc<Teams>>>,
+    kept_parts: Mutex<KeptParts>,
     began: Instant,
 }
 
@@ -122,6 +125,22 @@
         self.with_budget(service, Budget::try_repeat)
     }
 
+    /// Returns the endpoints that should keep the shared parts that a number stands for, the one used last first.
+    pub(crate) fn holders(&self, key: u64) -> Holders {
+        self.kept_parts().holders(self.began.elapsed(), key)
+    }
+
+    /// Notes that an endpoint has the shared parts that a number stands for.
+    pub(crate) fn note_kept(&self, key: u64, endpoint: EndpointHash) {
+        self.kept_parts().note(self.began.elapsed(), key, endpoint);
+    }
+
+    fn kept_parts(&self) -> MutexGuard<'_, KeptParts> {
+        self.kept_parts
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn with_budget<T>(&self, service: &str, act: impl FnOnce(&mut Budget, Duration) -> T) -> T {
         let now = self.began.elapsed();
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
@@ -185,6 +204,7 @@
             budget_rules: settings.budget,
             budgets: Mutex::default(),
             teams: Mutex::default(),
+            kept_parts: Mutex::default(),
             began: Instant::now(),
         });
         let (stop, stopped) = watch::channel(false);
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hinge_routing::{Candidate, Prompt, Source, choose, choose_idle, copy_time, fetch_source};
+use hinge_routing::{
+    Candidate, Holders, Prompt, Source, choose, choose_idle, copy_time, fetch_source,
+};
 use hinge_schema::routing::{AdmitAsk, Engine, Route};
 use hinge_telemetry::log::{Level, Part};
 use hinge_telemetry::record;
@@ -34,11 +36,11 @@
 /// Admissions that are asked for one request: the best one, and one that is nearly idle.
 const MAX_ASKED: usize = 2;
 
-/// Rank that goes first.
-const FIRST_RANK: u32 = 0;
 /// Admissions that are asked for a request of a team that is behind.
 const MAX_ASKED_BEHIND: usize = 3;
 
+/// Rank that goes first.
+const FIRST_RANK: u32 = 0;
 
 /// Longest pause after which a stream is worth going on: callers give one up after two seconds or more.
 const RESUME_BUDGET: Duration = Duration::from_secs(2);
@@ -365,8 +367,6 @@
         }
     }
 
-    /// Returns about how many bytes of the request and its answer would leave the data centre.
-    fn far_bytes(&self) -> u64 {
     /// Returns how many tokens an engine reads before the answer must begin to be on time.
     fn readable_in_time(&self) -> u32 {
         let target = Duration::from_millis(self.route.target_latency_ms);
@@ -374,6 +374,8 @@
         self.gateway.choice.readable_tokens(left)
     }
 
+    /// Returns about how many bytes of the request and its answer would leave the data centre.
+    fn far_bytes(&self) -> u64 {
         let answer_tokens = self
             .prompt
             .as_ref()
@@ -381,7 +383,22 @@
         self.outgoing.body.len() as u64 + HEAD_BYTES + u64::from(answer_tokens) * TOKEN_BYTES
     }
 
-    /// Returns the engine from which an endpoint copies the shared parts of the prompt; none where it is their home itself.
+    /// Returns the endpoints that should keep the shared parts of the prompt, the one used last first.
+    fn holders(&self) -> Holders {
+        let prompt = self.prompt.as_ref().filter(|_| self.route.prompts);
+        let shared = prompt.and_then(Prompt::shared_key);
+        shared.map_or_else(Holders::new, |(key, _)| self.gateway.holders(key))
+    }
+
+    /// Notes that an endpoint has the shared parts of the prompt, now that its answer begins.
+    pub(crate) fn note_kept(&self, endpoint: &Endpoint) {
+        let shared = self.prompt.as_ref().and_then(Prompt::shared_key);
+        if let Some((key, _)) = shared.filter(|_| self.route.prompts) {
+            self.gateway.note_kept(key, endpoint.hash);
+        }
+    }
+
+    /// Returns the engine from which an endpoint copies the shared parts of the prompt; none where it should keep them itself.
     fn fetch_source(&self, endpoint: &Endpoint) -> Option<SocketAddr> {
         let engine = self.engine.as_ref()?;
         let prompt = self.prompt.as_ref().filter(|_| self.route.prompts)?;
@@ -397,7 +414,11 @@
                 hash: endpoint.hash,
             })
             .collect();
-        let place = fetch_source(&sources, prompt, copy_token)?;
+        let holders = self.holders();
+        if holders.contains(&endpoint.hash) {
+            return None;
+        }
+        let place = fetch_source(&sources, &holders, prompt, copy_token)?;
         let source = sound[place].described.address;
         (source != endpoint.described.address).then_some(source)
     }
@@ -424,15 +445,16 @@
         } else {
             open
         };
-        let described = usable
-            .iter()
-            .map(|endpoint| endpoint.candidate(&self.gateway.data_center));
+        let holders = self.holders();
+        let described = usable.iter().map(|endpoint| {
+            let keeps_parts = holders.contains(&endpoint.hash);
+            endpoint.candidate(&self.gateway.data_center, keeps_parts)
+        });
         let (candidates, ages): (Vec<Candidate>, Vec<u128>) = described.unzip();
         story.candidates = candidates.len();
         let rules = &self.gateway.choice;
         let prompt = self.prompt.as_ref().filter(|_| self.route.prompts);
         let (far_bytes, draw) = (self.far_bytes(), rand::random());
-        let most = self.gateway.max_spill_tokens;
         let was_refused = !story.refused.is_empty();
         let is_behind = was_refused && self.is_behind();
         let most = if is_behind {
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -115,6 +115,7 @@
         if !has_begun {
             has_begun = true;
             in_use.began();
+            job.note_kept(in_use.endpoint());
         }
         story.note_piece(job);
         if pieces.send(piece).await.is_err() {
--- a/crates/routing/src/choose.rs
+++ b/crates/routing/src/choose.rs
@@ -69,6 +69,8 @@
     pub unread_tokens: u32,
     /// Whether it is in this gateway's data centre.
     pub is_near: bool,
+    /// Whether it has read the shared parts lately, as far as this gateway has seen.
+    pub keeps_parts: bool,
 }
 
 /// Sets what the choice weighs; costs are in microseconds of an engine's time.
@@ -111,8 +113,6 @@
     }
 }
 
-/// Returns the rank of an endpoint as a home of a shared part; the highest ones are its homes.
-#[must_use]
 impl ChoiceRules {
     /// Returns how many tokens an engine reads in some time, as the choice weighs them.
     #[must_use]
@@ -122,6 +122,8 @@
     }
 }
 
+/// Returns the rank of an endpoint as a home of a shared part; the highest ones are its homes.
+#[must_use]
 pub fn home_rank(key: u64, endpoint: u64) -> u64 {
     mix(key ^ mix(endpoint))
 }
@@ -145,6 +147,7 @@
         let rank = homes.and_then(|homes| homes.iter().position(|home| *home == place));
         // Requests that leave the homes go to the next one in rank, so that it has the part the next time.
         let missing = match rank {
+            _ if candidate.keeps_parts => 0,
             Some(rank) if rank < rules.homes => 0,
             Some(_next) => tokens * 3 / 4,
             None => tokens,
--- a/crates/routing/src/fetch.rs
+++ b/crates/routing/src/fetch.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crate::choose::{Prompt, home_rank};
+use crate::kept::EndpointHash;
 
 /// Time in which an engine reads a token under load: 25 to 45 tokens in a millisecond were measured.
 const READ_TOKEN: Duration = Duration::from_micros(25);
@@ -17,7 +18,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Source {
     /// Number that stands for the endpoint's id, the same at every gateway.
-    pub hash: u64,
+    pub hash: EndpointHash,
 }
 
 /// Returns the time in which one token's memory goes from one engine to another, by the size of a token and the link.
@@ -30,16 +31,25 @@
 
 /// Returns the place of the source from which the shared parts are copied; none where reading them is as quick.
 ///
-/// The first in rank for the parts is their home, and the one to keep them if any does. A source that no longer keeps them costs
-/// the setup alone.
+/// `holders` read the parts lately, the last one first; it is the one to keep them if any does. Where nobody is known to have read
+/// them, the first in rank is asked, which is their home. A source that no longer keeps them costs the setup alone.
 #[must_use]
-pub fn fetch_source(sources: &[Source], prompt: &Prompt, copy_token: Duration) -> Option<usize> {
+pub fn fetch_source(
+    sources: &[Source],
+    holders: &[EndpointHash],
+    prompt: &Prompt,
+    copy_token: Duration,
+) -> Option<usize> {
     let (key, tokens) = prompt.shared_key()?;
     let saved = READ_TOKEN.saturating_sub(copy_token) * tokens;
     if saved <= COPY_SETUP {
         return None;
     }
-    let ranked = sources.iter().enumerate();
-    let best = ranked.max_by_key(|(_, source)| home_rank(key, source.hash));
-    best.map(|(place, _)| place)
+    let place_of = |hash: &EndpointHash| sources.iter().position(|source| source.hash == *hash);
+    let home = || {
+        let ranked = sources.iter().enumerate();
+        let best = ranked.max_by_key(|(_, source)| home_rank(key, source.hash));
+        best.map(|(place, _)| place)
+    };
+    holders.iter().find_map(place_of).or_else(home)
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`Lookup`] finds the route and the team of a request. [`choose`] ranks the endpoints that may take it. [`Budget`]
 //! bounds how often requests are sent a second time, and [`Standing`] keeps endpoints out that fail. [`load_interval`]
-//! says how often a gateway wants to hear of their loads, and [`Overload`] which requests it turns away because it is
+//! says how often a gateway wants to hear of their loads, [`KeptParts`] and [`fetch_source`] where the parts of a prompt are kept, and [`Overload`] which requests it turns away because it is
 //! itself too busy. [`Targets`] names the control instances that it asks.
 
 mod budget;
@@ -10,6 +10,7 @@
 mod choose;
 mod feed;
 mod fetch;
+mod kept;
 mod lookup;
 mod overload;
 mod standing;
@@ -20,6 +21,7 @@
 pub use choose::{Candidate, ChoiceRules, Prompt, PromptPart, choose, choose_idle, home_rank};
 pub use feed::load_interval;
 pub use fetch::{Source, copy_time, fetch_source};
+pub use kept::{EndpointHash, Holders, KeptParts};
 pub use lookup::Lookup;
 pub use overload::{Overload, OverloadRules, Overloaded};
 pub use standing::{Standing, StandingRules};
--- a/crates/routing/tests/choice.rs
+++ b/crates/routing/tests/choice.rs
@@ -24,6 +24,7 @@
         slots: 64,
         unread_tokens: 0,
         is_near: true,
+        keeps_parts: false,
     });
     idle.collect()
 }
@@ -73,6 +74,17 @@
         assert_eq!(next.len(), 1);
         assert!(!next.contains(&home));
     }
+    an_engine_that_has_the_parts_of_a_busy_home_is_as_good_as_the_home => {
+        let mut engines = engines(9);
+        let prompt = prompt(5, 6_300);
+        let home = chosen(&engines, &prompt, 0);
+        engines[home].unread_tokens = 12_000;
+        let copy = (home + 4) % engines.len();
+        engines[copy].keeps_parts = true;
+        assert_eq!(chosen(&engines, &prompt, 0), copy);
+        engines[copy].unread_tokens = 20_000;
+        assert_eq!(chosen(&engines, &prompt, 0), home);
+    }
     the_loss_of_an_engine_moves_only_its_own_parts => {
         let all = engines(9);
         let lost = all[3].hash;
@@ -126,18 +138,6 @@
         engines[next].unread_tokens = 900;
         assert_eq!(after(&engines), Some(next), "an idle one that has some of the parts is better");
     }
-    a_full_engine_is_left_for_one_with_slots => {
-        let mut engines = engines(2);
-        engines[0].running = 64;
-        engines[1].running = 40;
-        engines[1].is_near = false;
-        assert_eq!(chosen(&engines, &Prompt::default(), 0), 1);
-    }
-    nobody_is_chosen_of_none => {
-        assert_eq!(choose(&[], None, 0, &ChoiceRules::default(), 0), None);
-    }
-    an_endpoint_is_held_out_after_failures_and_tried_by_one_request => {
-        let rules = StandingRules::default();
     a_refused_request_of_a_team_that_is_behind_finds_the_engine_that_reads_it_in_time => {
         // Hot teams keep every engine busy, so that none is nearly idle; one reads what it has within the time that is left.
         let rules = ChoiceRules::default();
@@ -155,6 +155,18 @@
         assert_eq!(after(500), Some(6));
         assert_eq!(after(300), None, "its turn would come too late");
     }
+    a_full_engine_is_left_for_one_with_slots => {
+        let mut engines = engines(2);
+        engines[0].running = 64;
+        engines[1].running = 40;
+        engines[1].is_near = false;
+        assert_eq!(chosen(&engines, &Prompt::default(), 0), 1);
+    }
+    nobody_is_chosen_of_none => {
+        assert_eq!(choose(&[], None, 0, &ChoiceRules::default(), 0), None);
+    }
+    an_endpoint_is_held_out_after_failures_and_tried_by_one_request => {
+        let rules = StandingRules::default();
         let mut standing = Standing::default();
         let at = Duration::from_millis;
         assert_eq!(standing.failed(at(0), &rules), None);
--- a/crates/routing/tests/fetch.rs
+++ b/crates/routing/tests/fetch.rs
@@ -4,7 +4,7 @@
 
 use hinge_cases::cases;
 use hinge_routing::{
-    Candidate, ChoiceRules, Prompt, PromptPart, Source, choose, copy_time, fetch_source,
+    Candidate, ChoiceRules, KeptParts, Prompt, PromptPart, Source, choose, copy_time, fetch_source,
 };
 
 /// Time to copy a token of 18 KB over 130 Gbit/s.
@@ -57,6 +57,7 @@
                 slots: 64,
                 unread_tokens: 0,
                 is_near: true,
+                keeps_parts: false,
             })
             .collect();
         let rules = ChoiceRules::default();
@@ -64,18 +65,60 @@
         candidates[home].unread_tokens = 60_000;
         let other = choose(&candidates, Some(&prompt), 0, &rules, 0).expect("there are engines");
         assert_ne!(other, home);
-        assert_eq!(fetch_source(&sources, &prompt, COPY_TOKEN), Some(home));
+        assert_eq!(fetch_source(&sources, &[], &prompt, COPY_TOKEN), Some(home));
+    }
+    a_home_that_has_lost_the_part_copies_it_from_where_it_was_read_last => {
+        // The home ended and came back empty; in between the part was read at the next in rank, and then at a third engine.
+        let sources = sources(9);
+        let prompt = prompt(5, 5_382);
+        let home = fetch_source(&sources, &[], &prompt, COPY_TOKEN).expect("there are engines");
+        let (next, third) = ((home + 1) % 9, (home + 2) % 9);
+        let mut kept = KeptParts::default();
+        let (key, _) = prompt.shared_key().expect("it shares parts");
+        kept.note(Duration::from_secs(1), key, sources[next].hash);
+        kept.note(Duration::from_secs(2), key, sources[third].hash);
+        let holders = kept.holders(Duration::from_secs(3), key);
+        assert_eq!(fetch_source(&sources, &holders, &prompt, COPY_TOKEN), Some(third));
+        // One that is held out is no source, and the one before it is.
+        let left: Vec<Source> = sources
+            .iter()
+            .copied()
+            .filter(|source| source.hash != sources[third].hash)
+            .collect();
+        let place = fetch_source(&left, &holders, &prompt, COPY_TOKEN).expect("there are engines");
+        assert_eq!(left[place], sources[next]);
+    }
+    a_part_that_was_not_used_for_long_counts_as_gone => {
+        let mut kept = KeptParts::default();
+        kept.note(Duration::ZERO, 7, 1);
+        assert_eq!(kept.holders(Duration::from_millis(5_999), 7).as_slice(), [1]);
+        assert!(kept.holders(Duration::from_secs(6), 7).is_empty());
+        assert!(kept.holders(Duration::ZERO, 8).is_empty());
+    }
+    the_parts_and_their_holders_that_are_remembered_are_bounded => {
+        let mut kept = KeptParts::default();
+        for endpoint in 0..9 {
+            kept.note(Duration::ZERO, 7, endpoint);
+        }
+        assert_eq!(kept.holders(Duration::ZERO, 7).as_slice(), [8, 7, 6, 5]);
+        let mut kept = KeptParts::default();
+        for key in 0..20_000_u64 {
+            let now = Duration::from_micros(key);
+            kept.note(now, key, 1);
+            assert_eq!(kept.holders(now, key).as_slice(), [1], "the newest is always remembered");
+        }
+        assert!(kept.len() <= 4_096);
     }
     a_short_part_is_read_again_since_the_setup_of_a_copy_takes_as_long => {
-        assert_eq!(fetch_source(&sources(9), &prompt(5, 198), COPY_TOKEN), None);
-        assert!(fetch_source(&sources(9), &prompt(5, 568), COPY_TOKEN).is_some());
+        assert_eq!(fetch_source(&sources(9), &[], &prompt(5, 198), COPY_TOKEN), None);
+        assert!(fetch_source(&sources(9), &[], &prompt(5, 568), COPY_TOKEN).is_some());
     }
     a_part_is_read_again_where_the_link_is_slower_than_the_engine => {
         let slow = Duration::from_micros(40);
-        assert_eq!(fetch_source(&sources(9), &prompt(5, 5_382), slow), None);
+        assert_eq!(fetch_source(&sources(9), &[], &prompt(5, 5_382), slow), None);
     }
     nothing_is_copied_where_no_engine_is_sound_or_nothing_is_shared => {
-        assert_eq!(fetch_source(&[], &prompt(5, 5_382), COPY_TOKEN), None);
-        assert_eq!(fetch_source(&sources(9), &Prompt::default(), COPY_TOKEN), None);
+        assert_eq!(fetch_source(&[], &[], &prompt(5, 5_382), COPY_TOKEN), None);
+        assert_eq!(fetch_source(&sources(9), &[], &Prompt::default(), COPY_TOKEN), None);
     }
 }
