Take the memory of an engine from its reports

Ruled out: a setting for each deployment; it would be a fit.

Change: the reported memory replaces the setting, for the room for requests and for the model of kept parts.

--- a/crates/admission/src/cache.rs
+++ b/crates/admission/src/cache.rs
@@ -35,6 +35,11 @@
         }
     }
 
+    /// Takes in how many tokens fit the memory; what does not fit yields at the next use of a part.
+    pub fn resize(&mut self, capacity_tokens: u64) {
+        self.capacity_tokens = capacity_tokens;
+    }
+
     /// Returns whether a part should be kept.
     #[must_use]
     pub fn holds(&self, key: u64) -> bool {
--- a/crates/admission/src/engine.rs
+++ b/crates/admission/src/engine.rs
@@ -22,6 +22,8 @@
     pub active: u32,
     /// Tokens in memory that can't yield.
     pub kv_used_tokens: u64,
+    /// Tokens that fit its memory; none where it does not say.
+    pub kv_total_tokens: Option<u64>,
     /// Requests that run; empty where the engine doesn't list them.
     pub runs: Vec<Run>,
 }
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -60,7 +60,7 @@
     pub max_unread_tokens: u32,
     /// Requests that the engine runs at once.
     pub max_running: u32,
-    /// Memory of the engine, in tokens.
+    /// Memory of the engine, in tokens, until it reports it.
     pub kv_tokens: u64,
     /// Part of a request's budget in which its turn must come, in thousandths.
     pub turn_permille: u32,
@@ -233,6 +233,10 @@
         let runs: HashMap<&str, &Run> = runs.map(|run| (&*run.request_id, run)).collect();
         let (mut read, mut more) = (0, 0);
         for running in self.running.values_mut() {
+        if let Some(kv_tokens) = report.kv_total_tokens.filter(|tokens| *tokens > 0) {
+            self.rules.kv_tokens = kv_tokens;
+            self.cache.resize(kv_tokens);
+        }
             let run = runs.get(&*running.request_id);
             let Some(run) = run.filter(|_| !running.has_begun && !running.is_given_up) else {
                 continue;
--- a/crates/admission/tests/queue.rs
+++ b/crates/admission/tests/queue.rs
@@ -325,6 +325,53 @@
         admission.decide(ms(300));
         assert_eq!(admission.load().unread_tokens, 9_000);
     }
+    a_long_prompt_of_a_team_above_its_share_does_not_keep_an_engine_from_the_others => {
+        // One team asks for most, some of it in prompts that take a second to read; ten others ask for a little each.
+        let mut admission = Admission::new(RULES);
+        let read = |admission: &mut Admission, id: u64, team: &str, tokens: u32| {
+            let now = id * 100;
+            admission.ask(ms(now), id, ask(team, tokens, 900));
+            admission.decide(ms(now));
+            let read_at = ms(now + u64::from(tokens / READ_PER_MS));
+            admission.began(read_at, id);
+            admission.ended(read_at, id);
+        };
+        for id in 0..20 {
+            read(&mut admission, id, "hot", 3_000);
+        }
+        for id in 20..30 {
+            read(&mut admission, id, &format!("small-{id}"), 1_000);
+        }
+        let refused = |decisions: &[Decision]| matches!(decisions, [Decision::Refuse { .. }]);
+        admission.ask(ms(3_000), 100, ask("hot", 40_000, 900));
+        assert!(refused(&admission.decide(ms(3_000))), "it would be read for a second");
+        admission.ask(ms(3_000), 101, ask("hot", 2_000, 900));
+        assert!(!refused(&admission.decide(ms(3_000))), "the engine is idle, and this one is short");
+        admission.began(ms(3_050), 101);
+        admission.ask(ms(3_050), 102, ask("small-20", 40_000, 900));
+        assert!(!refused(&admission.decide(ms(3_050))), "the long prompt of a team within its share is read");
+    }
+    parts_that_fit_the_memory_that_the_engine_reports_are_taken_for_kept => {
+        // Sixty long parts in turn: more than the settings say that the engine keeps, and less than it does.
+        let mut admission = Admission::new(RULES);
+        let part_tokens = u32::try_from(RULES.kv_tokens / 40).expect("a part is short");
+        let total = Some(RULES.kv_tokens * 2);
+        admission.reported(ms(7_000), &Report { kv_total_tokens: total, ..Report::default() });
+        let mut read_tokens = 0;
+        for round in 0..2 {
+            read_tokens = 0;
+            for part in 1..=60_u64 {
+                let (now, id) = (ms(8_000 + round * 60_000 + part * 1_000), round * 60 + part);
+                let ask = Ask { shared: Some((part << 32, part_tokens)), ..ask("a", part_tokens + 100, 900) };
+                admission.ask(now, id, ask);
+                admission.decide(now);
+                read_tokens += admission.load().unread_tokens;
+                admission.began(now + ms(200), id);
+                admission.ended(now + ms(300), id);
+            }
+        }
+        assert_eq!(read_tokens, 60 * 100, "all parts are kept from the first round");
+    }
     a_request_that_is_listed_again_keeps_its_place => {
         let mut admission = Admission::new(RULES);
         admission.ask(ms(0), 1, Ask { request_id: "r".into(), ..ask("a", 5_000, 500) });
