Let long prompts of teams above their share not keep an engine to themselves

Cause: an engine reads one prompt after the other.

Ruled out: a shorter turn for everybody (no gain), an engine that is nearly idle (there is none).

Change: where a prompt takes more than 250 ms to read and its team has used more than the reference, its own reading counts in its turn, and an idle moment does not let it pass. The lines of decisions tell the tokens of the answer as well.

--- a/crates/admission/src/asks.rs
+++ b/crates/admission/src/asks.rs
@@ -188,7 +188,8 @@
             team = ask.team,
             waited_ms = waited.as_millis(),
             ahead_tokens = ahead_tokens,
-            prompt_tokens = ask.prompt_tokens
+            prompt_tokens = ask.prompt_tokens,
+            answer_tokens = ask.answer_tokens
         ),
         Decision::Refuse {
             retry_after,
@@ -202,6 +203,7 @@
             budget_ms = ask.budget_ms,
             ahead_tokens = ahead_tokens,
             prompt_tokens = ask.prompt_tokens,
+            answer_tokens = ask.answer_tokens,
             retry_after_ms = retry_after.as_millis()
         ),
     }
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -46,6 +46,10 @@
 /// Smallest step of use, in tokens: about one request.
 const SMALLEST_STEP_TOKENS: f64 = 2_000.0;
 
+/// Longest time for which a team that has used more than its share may keep an engine to itself with one prompt: half of the
+/// time in which an answer has to begin.
+const LONGEST_HOLD: Duration = Duration::from_millis(250);
+
 /// Time from the start for which every shared part is taken for kept. The engine goes on while its admission restarts, and
 /// a queue that took its memory for empty would refuse three times too much; the reports correct what is wrong.
 const ASSUME_KEPT: Duration = Duration::from_secs(6);
@@ -229,14 +233,14 @@
     /// Takes in what the engine reports: how far each prompt is read.
     pub fn reported(&mut self, now: Duration, report: &Report) {
         self.note_birth(now, report.born_unix_ms);
-        let runs = report.runs.iter();
-        let runs: HashMap<&str, &Run> = runs.map(|run| (&*run.request_id, run)).collect();
-        let (mut read, mut more) = (0, 0);
-        for running in self.running.values_mut() {
         if let Some(kv_tokens) = report.kv_total_tokens.filter(|tokens| *tokens > 0) {
             self.rules.kv_tokens = kv_tokens;
             self.cache.resize(kv_tokens);
         }
+        let runs = report.runs.iter();
+        let runs: HashMap<&str, &Run> = runs.map(|run| (&*run.request_id, run)).collect();
+        let (mut read, mut more) = (0, 0);
+        for running in self.running.values_mut() {
             let run = runs.get(&*running.request_id);
             let Some(run) = run.filter(|_| !running.has_begun && !running.is_given_up) else {
                 continue;
@@ -427,12 +431,16 @@
         for place in self.order(now) {
             let waiting = &self.waiting[place];
             let own = u64::from(self.tokens_to_read(&waiting.ask));
-            // Its own prompt doesn't count, or long prompts would be refused whenever there is any load.
-            let turn = now.saturating_sub(waiting.since) + self.pace.time_for(ahead);
+            let used = self.used(now, &waiting.ask.team);
+            let permille = self.turn_permille(used, share);
             let budget = waiting.ask.budget.saturating_sub(self.first_event);
-            let permille = self.turn_permille(self.used(now, &waiting.ask.team), share);
+            // Nobody else is read while a long prompt is, so that of a team above its share counts in its turn. Any other one
+            // doesn't, or long prompts would be refused whenever there is any load.
+            let keeps_others_out = used > share && self.pace.time_for(own) > LONGEST_HOLD;
+            let before_others = if keeps_others_out { ahead + own } else { ahead };
+            let turn = now.saturating_sub(waiting.since) + self.pace.time_for(before_others);
             // Whoever could go now, goes: the engine must not idle for the sake of a share.
-            let could_go = ahead < u64::from(self.rules.max_unread_tokens);
+            let could_go = ahead < u64::from(self.rules.max_unread_tokens) && !keeps_others_out;
             if turn > budget * permille / 1000 && !could_go {
                 late.push((waiting.id, ahead));
             } else {
