Hold long prompts back only where teams within their share had to wait lately

Change: the rule is in force for a second after a team within its share found no room at the engine.

--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -50,6 +50,10 @@
 /// time in which an answer has to begin.
 const LONGEST_HOLD: Duration = Duration::from_millis(250);
 
+/// Time for which teams within their share are expected to need an engine again, after one of them had to wait for it: about the
+/// time in which the longest prompts are read.
+const CROWDED_FOR: Duration = Duration::from_secs(1);
+
 /// Time from the start for which every shared part is taken for kept. The engine goes on while its admission restarts, and
 /// a queue that took its memory for empty would refuse three times too much; the reports correct what is wrong.
 const ASSUME_KEPT: Duration = Duration::from_secs(6);
@@ -173,6 +177,8 @@
     usage: Usage,
     /// What the teams have used at other engines, as it was last told.
     elsewhere: Usage,
+    /// Until when teams within their share are expected to need the engine.
+    crowded_until: Duration,
     /// Use that a team's own is measured against, and until when that is believed.
     share: f64,
     share_until: Duration,
@@ -198,6 +204,7 @@
             lost: Vec::new(),
             usage: Usage::default(),
             elsewhere: Usage::default(),
+            crowded_until: Duration::ZERO,
             share: 1.0,
             share_until: Duration::ZERO,
         }
@@ -428,6 +435,7 @@
         let share = self.reference_use(now);
         let mut ahead = u64::from(self.unread_tokens);
         let mut late = Vec::new();
+        let mut crowded = false;
         for place in self.order(now) {
             let waiting = &self.waiting[place];
             let own = u64::from(self.tokens_to_read(&waiting.ask));
@@ -436,17 +444,26 @@
             let budget = waiting.ask.budget.saturating_sub(self.first_event);
             // Nobody else is read while a long prompt is, so that of a team above its share counts in its turn. Any other one
             // doesn't, or long prompts would be refused whenever there is any load.
-            let keeps_others_out = used > share && self.pace.time_for(own) > LONGEST_HOLD;
+            let is_above = used > share;
+            let is_long = self.pace.time_for(own) > LONGEST_HOLD;
+            let keeps_others_out = is_above && is_long && now < self.crowded_until;
             let before_others = if keeps_others_out { ahead + own } else { ahead };
             let turn = now.saturating_sub(waiting.since) + self.pace.time_for(before_others);
             // Whoever could go now, goes: the engine must not idle for the sake of a share.
-            let could_go = ahead < u64::from(self.rules.max_unread_tokens) && !keeps_others_out;
+            let has_room = ahead < u64::from(self.rules.max_unread_tokens);
+            let could_go = has_room && !keeps_others_out;
+            if !is_above && !has_room {
+                crowded = true;
+            }
             if turn > budget * permille / 1000 && !could_go {
                 late.push((waiting.id, ahead));
             } else {
                 ahead += own;
             }
         }
+        if crowded {
+            self.crowded_until = now + CROWDED_FOR;
+        }
         let drained = self.pace.time_for(ahead).max(SHORTEST_RETRY);
         for (id, ahead) in late {
             self.waiting.retain(|waiting| waiting.id != id);
--- a/crates/admission/tests/queue.rs
+++ b/crates/admission/tests/queue.rs
@@ -342,14 +342,23 @@
         for id in 20..30 {
             read(&mut admission, id, &format!("small-{id}"), 1_000);
         }
+        // Nobody else has had to wait lately: the engine must not idle.
+        admission.ask(ms(3_000), 90, ask("hot", 40_000, 900));
+        let idle = admission.decide(ms(3_000));
+        assert!(matches!(idle[..], [Decision::Grant { .. }]), "{idle:?}");
+        admission.ask(ms(3_500), 91, ask("small-21", 1_000, 900));
+        admission.decide(ms(3_500));
+        admission.began(ms(4_000), 90);
+        admission.ended(ms(4_000), 90);
+        admission.ended(ms(4_000), 91);
         let refused = |decisions: &[Decision]| matches!(decisions, [Decision::Refuse { .. }]);
-        admission.ask(ms(3_000), 100, ask("hot", 40_000, 900));
-        assert!(refused(&admission.decide(ms(3_000))), "it would be read for a second");
-        admission.ask(ms(3_000), 101, ask("hot", 2_000, 900));
-        assert!(!refused(&admission.decide(ms(3_000))), "the engine is idle, and this one is short");
-        admission.began(ms(3_050), 101);
-        admission.ask(ms(3_050), 102, ask("small-20", 40_000, 900));
-        assert!(!refused(&admission.decide(ms(3_050))), "the long prompt of a team within its share is read");
+        admission.ask(ms(4_000), 100, ask("hot", 40_000, 900));
+        assert!(refused(&admission.decide(ms(4_000))), "it would be read for a second");
+        admission.ask(ms(4_000), 101, ask("hot", 2_000, 900));
+        assert!(!refused(&admission.decide(ms(4_000))), "the engine is idle, and this one is short");
+        admission.began(ms(4_050), 101);
+        admission.ask(ms(4_050), 102, ask("small-20", 40_000, 900));
+        assert!(!refused(&admission.decide(ms(4_050))), "the long prompt of a team within its share is read");
     }
     parts_that_fit_the_memory_that_the_engine_reports_are_taken_for_kept => {
         // Sixty long parts in turn: more than the settings say that the engine keeps, and less than it does.
