--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -10,6 +10,7 @@
 mod pace;
 mod queue;
 mod serve;
+mod turn;
 mod usage;
 
 pub use cache::Cache;
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -12,6 +12,7 @@
 use crate::cache::Cache;
 use crate::engine::{Report, Run};
 use crate::pace::Pace;
+use crate::turn::{reference, step_of, step_tokens, turn_permille};
 use crate::usage::Usage;
 
 /// Numbers an ask.
@@ -34,18 +35,6 @@
 /// Time for which the measured share is believed; uses fade over two seconds.
 const MEASURE_SHARE_EVERY: Duration = Duration::from_millis(50);
 
-/// Factors of the part of a budget in which a turn must come, in thousandths: for a team far above a whole share, and for
-/// one far below it. The greatest lets a turn come a little late rather than never.
-const LEAST_FACTOR: f64 = 100.0;
-const GREATEST_FACTOR: f64 = 2_500.0;
-
-/// Steps of use between no use and that of the team with the most; teams on one step take turns by their budgets. Fewer
-/// steps let a team with many asks keep its lead.
-const USE_STEPS: f64 = 8.0;
-
-/// Smallest step of use, in tokens: about one request.
-const SMALLEST_STEP_TOKENS: f64 = 2_000.0;
-
 /// Longest time for which a team that has used more than its share may keep an engine to itself with one prompt: half of the
 /// time in which an answer has to begin.
 const LONGEST_HOLD: Duration = Duration::from_millis(250);
@@ -440,7 +429,7 @@
             let waiting = &self.waiting[place];
             let own = u64::from(self.tokens_to_read(&waiting.ask));
             let used = self.used(now, &waiting.ask.team);
-            let permille = self.turn_permille(used, share);
+            let permille = turn_permille(self.rules.turn_permille, used, share);
             let budget = waiting.ask.budget.saturating_sub(self.first_event);
             // Nobody else is read while a long prompt is, so that of a team above its share counts in its turn. Any other one
             // doesn't, or long prompts would be refused whenever there is any load.
@@ -480,23 +469,6 @@
         self.usage.of(now, team) + self.elsewhere.of(now, team)
     }
 
-    /// Returns the part of its budget in which an ask's turn must come, in thousandths.
-    ///
-    /// The load pattern: a long prompt of a hot team is granted, and for as long as it is read nobody's turn comes in the
-    /// usual part of a budget. Who asks often then draws a free moment often, and a small team hardly ever. So a team
-    /// that has used less than the reference may wait longer, and one that has used more must find the engine free sooner;
-    /// by the square, since a part of it is a small difference and the wait behind one long prompt a great one.
-    fn turn_permille(&self, used: f64, share: f64) -> u32 {
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "the factor lies between two small numbers"
-        )]
-        let factor =
-            ((share / used.max(1.0)).powi(2) * 1000.0).clamp(LEAST_FACTOR, GREATEST_FACTOR) as u32;
-        self.rules.turn_permille * factor / 1000
-    }
-
     /// Returns the use that a team's own is measured against, measured again from time to time.
     fn reference_use(&mut self, now: Duration) -> f64 {
         if self.share_until <= now {
@@ -518,7 +490,7 @@
             used.entry(team).or_insert_with(|| self.used(now, team));
         }
         let most = used.values().copied().fold(0.0, f64::max);
-        let step_tokens = (most / USE_STEPS).max(SMALLEST_STEP_TOKENS);
+        let step_tokens = step_tokens(most);
         let mut left: Vec<usize> = (0..self.waiting.len()).collect();
         let mut order = Vec::with_capacity(left.len());
         while let Some((place, next)) = self.next_of(&left, &used, step_tokens) {
@@ -588,48 +560,6 @@
     }
 }
 
-/// Returns the use that a team's own is measured against: between the mean and a whole share.
-///
-/// The mean alone lies far below every hot team where there are many small ones, and would not tell the hot ones apart;
-/// the whole share alone is what the hottest has, and would not hold it back.
-fn reference(used: Vec<f64>) -> f64 {
-    #[expect(clippy::cast_precision_loss, reason = "teams are far fewer than 2^52")]
-    let mean = used.iter().sum::<f64>() / used.len().max(1) as f64;
-    (mean.max(1.0) * full_share(used)).sqrt()
-}
-
-/// Returns the use of a team that gets its whole share, from the uses of all teams.
-///
-/// Teams below an even share want no more, or do not get it; what they leave is shared by the others, and so on. What is
-/// left at the end is the level of those that are held back by nothing but their share.
-fn full_share(mut used: Vec<f64>) -> f64 {
-    used.sort_unstable_by(f64::total_cmp);
-    let mut rest: f64 = used.iter().sum();
-    let mut count = used.len();
-    let mut share = 1.0_f64;
-    for used in used {
-        #[expect(clippy::cast_precision_loss, reason = "teams are far fewer than 2^52")]
-        let even = rest / count as f64;
-        share = share.max(even);
-        if used >= even {
-            break;
-        }
-        rest -= used;
-        count -= 1;
-    }
-    share
-}
-
-/// Returns the step of a use.
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "a use is no less than nothing, and a cast from floating point saturates"
-)]
-fn step_of(used_tokens: f64, step_tokens: f64) -> u64 {
-    (used_tokens / step_tokens) as u64
-}
-
 fn service_tokens(ask: &Ask) -> u32 {
     ask.prompt_tokens
         .saturating_add(ask.answer_tokens.saturating_mul(ANSWER_WEIGHT))
--- /dev/null
+++ b/crates/admission/src/turn.rs
@@ -0,0 +1,77 @@
+//! Compares the uses of teams: when a turn must come by a team's use, and who goes before whom.
+
+/// Factors of the part of a budget in which a turn must come, in thousandths: for a team far above a whole share, and for
+/// one far below it. The greatest lets a turn come a little late rather than never.
+const LEAST_FACTOR: f64 = 100.0;
+const GREATEST_FACTOR: f64 = 2_500.0;
+
+/// Steps of use between no use and that of the team with the most; teams on one step take turns by their budgets. Fewer
+/// steps let a team with many asks keep its lead.
+const USE_STEPS: f64 = 8.0;
+
+/// Smallest step of use, in tokens: about one request.
+const SMALLEST_STEP_TOKENS: f64 = 2_000.0;
+
+/// Returns the part of its budget in which an ask's turn must come, in thousandths.
+///
+/// The load pattern: a long prompt of a hot team is granted, and for as long as it is read nobody's turn comes in the
+/// usual part of a budget. Who asks often then draws a free moment often, and a small team hardly ever. So a team
+/// that has used less than the reference may wait longer, and one that has used more must find the engine free sooner;
+/// by the square, since a part of it is a small difference and the wait behind one long prompt a great one.
+pub(crate) fn turn_permille(budget_permille: u32, used: f64, share: f64) -> u32 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the factor lies between two small numbers"
+    )]
+    let factor =
+        ((share / used.max(1.0)).powi(2) * 1000.0).clamp(LEAST_FACTOR, GREATEST_FACTOR) as u32;
+    budget_permille * factor / 1000
+}
+
+/// Returns the size of a step of use, from that of the team with the most.
+pub(crate) fn step_tokens(most: f64) -> f64 {
+    (most / USE_STEPS).max(SMALLEST_STEP_TOKENS)
+}
+
+/// Returns the use that a team's own is measured against: between the mean and a whole share.
+///
+/// The mean alone lies far below every hot team where there are many small ones, and would not tell the hot ones apart;
+/// the whole share alone is what the hottest has, and would not hold it back.
+pub(crate) fn reference(used: Vec<f64>) -> f64 {
+    #[expect(clippy::cast_precision_loss, reason = "teams are far fewer than 2^52")]
+    let mean = used.iter().sum::<f64>() / used.len().max(1) as f64;
+    (mean.max(1.0) * full_share(used)).sqrt()
+}
+
+/// Returns the use of a team that gets its whole share, from the uses of all teams.
+///
+/// Teams below an even share want no more, or do not get it; what they leave is shared by the others, and so on. What is
+/// left at the end is the level of those that are held back by nothing but their share.
+fn full_share(mut used: Vec<f64>) -> f64 {
+    used.sort_unstable_by(f64::total_cmp);
+    let mut rest: f64 = used.iter().sum();
+    let mut count = used.len();
+    let mut share = 1.0_f64;
+    for used in used {
+        #[expect(clippy::cast_precision_loss, reason = "teams are far fewer than 2^52")]
+        let even = rest / count as f64;
+        share = share.max(even);
+        if used >= even {
+            break;
+        }
+        rest -= used;
+        count -= 1;
+    }
+    share
+}
+
+/// Returns the step of a use.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a use is no less than nothing, and a cast from floating point saturates"
+)]
+pub(crate) fn step_of(used_tokens: f64, step_tokens: f64) -> u64 {
+    (used_tokens / step_tokens) as u64
+}
