--- a/crates/ctl/src/shares.rs
+++ b/crates/ctl/src/shares.rs
@@ -132,7 +132,7 @@
     };
     let mut windows: BTreeMap<u64, Window> = BTreeMap::new();
     for decision in decisions {
-        let number = (decision.at - first.at).as_secs() / WINDOW.as_secs();
+        let number = decision.at.saturating_sub(first.at).as_secs() / WINDOW.as_secs();
         let window = windows.entry(number).or_default();
         let team = decision.team.clone();
         if decision.is_granted {
@@ -142,8 +142,10 @@
         }
     }
     let gaps = windows.iter().filter_map(|(number, window)| {
-        let had = |team: &Box<str>| window.granted_tokens.get(team).copied().unwrap_or_default();
-        let backlogged = window.backlogged.iter().map(|team| (had(team), team));
+        let backlogged = window.backlogged.iter().map(|team| {
+            let had = window.granted_tokens.get(team).copied();
+            (had.unwrap_or_default(), team)
+        });
         let (most, least) = (backlogged.clone().max()?, backlogged.min()?);
         (most.1 != least.1).then(|| Gap {
             from_s: number * WINDOW.as_secs(),
