Let what is known of kept parts end with the incarnation that kept them

Cause: a gateway remembered by an endpoint's id where parts were read; an endpoint that starts again under its id keeps nothing, and its requests would have been sent without a source to copy from for six seconds.

Change: holders are named by id and birth; the home of a part still follows from the id alone, so that it stays where it is.

--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use hinge_routing::{Candidate, Standing, StandingRules};
+use hinge_routing::{Candidate, IncarnationHash, Standing, StandingRules};
 use hinge_schema::routing::{Endpoint as Described, EngineLoad};
 use hinge_telemetry::log::Part;
 use hinge_telemetry::{info, warn};
@@ -45,7 +45,10 @@
 #[derive(Debug)]
 pub(crate) struct Endpoint {
     pub(crate) described: Described,
+    /// Stands for its id, under which it may start again: the home of a part stays where it is.
     pub(crate) hash: u64,
+    /// Stands for this start of it, which knows nothing of the one before.
+    pub(crate) incarnation: IncarnationHash,
     pub(crate) pool: Pool,
     /// The admission beside it, where there is one.
     pub(crate) admitter: Option<Admitter>,
@@ -61,6 +64,7 @@
         Self {
             admitter,
             hash: hash(&described.id),
+            incarnation: incarnation(&described),
             is_draining: AtomicBool::new(false),
             has_restarted: watch::Sender::new(false),
             described,
@@ -324,6 +328,12 @@
     }
 }
 
+/// Returns a number that stands for one start of an endpoint.
+fn incarnation(described: &Described) -> IncarnationHash {
+    let born = described.born_unix_ms.unwrap_or_default();
+    hash(&described.id).wrapping_add(born)
+}
+
 /// Returns a number that stands for an id, the same in every process (FNV-1a).
 fn hash(id: &str) -> u64 {
     id.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use hinge_link::Client;
 use hinge_routing::{
-    Budget, BudgetRules, ChoiceRules, EndpointHash, Holders, KeptParts, Overload, OverloadRules,
+    Budget, BudgetRules, ChoiceRules, Holders, IncarnationHash, KeptParts, Overload, OverloadRules,
 };
 use hinge_telemetry::info;
 use hinge_telemetry::log::Part;
@@ -131,7 +131,7 @@
     }
 
     /// Notes that an endpoint has the shared parts that a number stands for.
-    pub(crate) fn note_kept(&self, key: u64, endpoint: EndpointHash) {
+    pub(crate) fn note_kept(&self, key: u64, endpoint: IncarnationHash) {
         self.kept_parts().note(self.began.elapsed(), key, endpoint);
     }
 
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -394,7 +394,7 @@
     pub(crate) fn note_kept(&self, endpoint: &Endpoint) {
         let shared = self.prompt.as_ref().and_then(Prompt::shared_key);
         if let Some((key, _)) = shared.filter(|_| self.route.prompts) {
-            self.gateway.note_kept(key, endpoint.hash);
+            self.gateway.note_kept(key, endpoint.incarnation);
         }
     }
 
@@ -412,10 +412,11 @@
             .iter()
             .map(|endpoint| Source {
                 hash: endpoint.hash,
+                incarnation: endpoint.incarnation,
             })
             .collect();
         let holders = self.holders();
-        if holders.contains(&endpoint.hash) {
+        if holders.contains(&endpoint.incarnation) {
             return None;
         }
         let place = fetch_source(&sources, &holders, prompt, copy_token)?;
@@ -447,7 +448,7 @@
         };
         let holders = self.holders();
         let described = usable.iter().map(|endpoint| {
-            let keeps_parts = holders.contains(&endpoint.hash);
+            let keeps_parts = holders.contains(&endpoint.incarnation);
             endpoint.candidate(&self.gateway.data_center, keeps_parts)
         });
         let (candidates, ages): (Vec<Candidate>, Vec<u128>) = described.unzip();
--- a/crates/routing/src/fetch.rs
+++ b/crates/routing/src/fetch.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use crate::choose::{Prompt, home_rank};
-use crate::kept::EndpointHash;
+use crate::kept::IncarnationHash;
 
 /// Time in which an engine reads a token under load: 25 to 45 tokens in a millisecond were measured.
 const READ_TOKEN: Duration = Duration::from_micros(25);
@@ -18,7 +18,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Source {
     /// Number that stands for the endpoint's id, the same at every gateway.
-    pub hash: EndpointHash,
+    pub hash: u64,
+    /// Number that stands for its present incarnation.
+    pub incarnation: IncarnationHash,
 }
 
 /// Returns the time in which one token's memory goes from one engine to another, by the size of a token and the link.
@@ -36,7 +38,7 @@
 #[must_use]
 pub fn fetch_source(
     sources: &[Source],
-    holders: &[EndpointHash],
+    holders: &[IncarnationHash],
     prompt: &Prompt,
     copy_token: Duration,
 ) -> Option<usize> {
@@ -45,7 +47,10 @@
     if saved <= COPY_SETUP {
         return None;
     }
-    let place_of = |hash: &EndpointHash| sources.iter().position(|source| source.hash == *hash);
+    let place_of = |holder: &IncarnationHash| {
+        let mut sources = sources.iter();
+        sources.position(|source| source.incarnation == *holder)
+    };
     let home = || {
         let ranked = sources.iter().enumerate();
         let best = ranked.max_by_key(|(_, source)| home_rank(key, source.hash));
--- a/crates/routing/src/kept.rs
+++ b/crates/routing/src/kept.rs
@@ -18,15 +18,15 @@
 /// Parts that are remembered, at most: those of some ten seconds at 400 requests a second, and 400 KB.
 const MOST_PARTS: usize = 4_096;
 
-/// Names an endpoint by the hash of its id.
-pub type EndpointHash = u64;
+/// Stands for one incarnation of an endpoint; one that starts again keeps nothing of before.
+pub type IncarnationHash = u64;
 
 /// Lists the endpoints that should keep a part, the one used last first.
-pub type Holders = SmallVec<[EndpointHash; MOST_HOLDERS]>;
+pub type Holders = SmallVec<[IncarnationHash; MOST_HOLDERS]>;
 
 #[derive(Debug, Clone, Copy)]
 struct Holder {
-    endpoint: EndpointHash,
+    endpoint: IncarnationHash,
     used_at: Duration,
 }
 
@@ -39,7 +39,7 @@
 
 impl KeptParts {
     /// Notes that an endpoint has read, or had, the parts that a number stands for.
-    pub fn note(&mut self, now: Duration, key: u64, endpoint: EndpointHash) {
+    pub fn note(&mut self, now: Duration, key: u64, endpoint: IncarnationHash) {
         if self.parts.len() >= MOST_PARTS && !self.parts.contains_key(&key) {
             self.forget_old(now);
         }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -21,7 +21,7 @@
 pub use choose::{Candidate, ChoiceRules, Prompt, PromptPart, choose, choose_idle, home_rank};
 pub use feed::load_interval;
 pub use fetch::{Source, copy_time, fetch_source};
-pub use kept::{EndpointHash, Holders, KeptParts};
+pub use kept::{Holders, IncarnationHash, KeptParts};
 pub use lookup::Lookup;
 pub use overload::{Overload, OverloadRules, Overloaded};
 pub use standing::{Standing, StandingRules};
--- a/crates/routing/tests/fetch.rs
+++ b/crates/routing/tests/fetch.rs
@@ -33,6 +33,7 @@
     (0..count)
         .map(|number| Source {
             hash: number * 7_919 + 3,
+            incarnation: number * 7_919 + 3,
         })
         .collect()
 }
@@ -88,6 +89,21 @@
         let place = fetch_source(&left, &holders, &prompt, COPY_TOKEN).expect("there are engines");
         assert_eq!(left[place], sources[next]);
     }
+    an_engine_that_has_started_again_keeps_nothing_and_stays_the_home => {
+        let mut sources = sources(9);
+        let prompt = prompt(5, 5_382);
+        let home = fetch_source(&sources, &[], &prompt, COPY_TOKEN).expect("there are engines");
+        let next = (home + 1) % 9;
+        let (key, _) = prompt.shared_key().expect("it shares parts");
+        let mut kept = KeptParts::default();
+        kept.note(Duration::from_secs(1), key, sources[next].incarnation);
+        kept.note(Duration::from_secs(2), key, sources[home].incarnation);
+        sources[home].incarnation += 1;
+        let holders = kept.holders(Duration::from_secs(3), key);
+        assert!(!holders.contains(&sources[home].incarnation));
+        assert_eq!(fetch_source(&sources, &holders, &prompt, COPY_TOKEN), Some(next));
+        assert_eq!(fetch_source(&sources, &[], &prompt, COPY_TOKEN), Some(home));
+    }
     a_part_that_was_not_used_for_long_counts_as_gone => {
         let mut kept = KeptParts::default();
         kept.note(Duration::ZERO, 7, 1);
