--- a/crates/admission/tests/queue.rs
+++ b/crates/admission/tests/queue.rs
@@ -191,6 +191,25 @@
         let (hottest, hot) = (world.count("hottest"), world.count("hot"));
         assert!(hot.granted_tokens * 3 >= hottest.granted_tokens, "{hot:?} {hottest:?}");
     }
+    of_two_hot_teams_the_one_with_more_asks_gets_hardly_more => {
+        // Both ask for several times what the engine reads, one of them for half as much again as the other.
+        let mut world = World::new();
+        for tick in 0..20_000 {
+            if tick % 33 == 0 {
+                world.ask(ask("hottest", 4_900, 500));
+            }
+            if tick % 54 == 3 {
+                world.ask(ask("hot", 5_600, 500));
+            }
+            if tick % 40 == 5 {
+                let team = format!("small-{}", tick / 40 % 14);
+                world.ask(ask(&team, 400, 500));
+            }
+            world.step();
+        }
+        let (hottest, hot) = (world.count("hottest"), world.count("hot"));
+        assert!(hottest.granted_tokens * 10 <= hot.granted_tokens * 13, "{hot:?} {hottest:?}");
+    }
     a_small_team_waits_out_the_long_prompts_of_a_flood => {
         let mut world = World::new();
         for tick in 0..20_000 {
