Let asks of teams that have used far less than the most stay for longer

Change: where the team has used less than three quarters of the most use, its one ask stays for half of its budget; the order by use gives it the next place.

--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -44,6 +44,12 @@
 /// goes to whoever asks next goes to that one more often; of those that stay for a moment, the team with the least use is chosen.
 const STAY_PART: u32 = 8;
 
+/// Part of its budget for which an ask stays whose team has used far less than the one with the most: it is chosen before that one's.
+const STAY_PART_BEHIND: u32 = 2;
+
+/// Part of the most use below which a team has used far less.
+const FAR_LESS: f64 = 0.75;
+
 /// Longest time for which a team that has used more than its share may keep an engine to itself with one prompt: half of the
 /// time in which an answer has to begin.
 const LONGEST_HOLD: Duration = Duration::from_millis(250);
@@ -177,6 +183,8 @@
     elsewhere: Usage,
     /// Until when teams within their share are expected to need the engine.
     crowded_until: Duration,
+    /// Use of the team that has used most.
+    most_used: f64,
     /// Use that a team's own is measured against, and until when that is believed.
     share: f64,
     share_until: Duration,
@@ -203,6 +211,7 @@
             usage: Usage::default(),
             elsewhere: Usage::default(),
             crowded_until: Duration::ZERO,
+            most_used: 0.0,
             share: 1.0,
             share_until: Duration::ZERO,
         }
@@ -455,7 +464,12 @@
                 crowded = true;
             }
             let team = &waiting.ask.team;
-            let stays_until = waiting.since + waiting.ask.budget / STAY_PART;
+            let part = if used < self.most_used * FAR_LESS {
+                STAY_PART_BEHIND
+            } else {
+                STAY_PART
+            };
+            let stays_until = waiting.since + waiting.ask.budget / part;
             let may_stay = !keeps_others_out && now < stays_until && !staying.contains(team);
             if turn <= budget * permille / 1000 || could_go {
                 ahead += own;
@@ -489,6 +503,7 @@
         if self.share_until <= now {
             let teams = self.usage.teams(now);
             let used: Vec<f64> = teams.map(|(team, _)| self.used(now, team)).collect();
+            self.most_used = used.iter().copied().fold(0.0, f64::max);
             self.share = reference(used);
             self.share_until = now + MEASURE_SHARE_EVERY;
         }
