Tell who votes, and how long ago control confirmed a gateway's table

Cause: after a cut of control in two, logs could not tell which instances voted, nor that four gateways had been without control for seven seconds. No decision is changed.

--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -16,7 +16,7 @@
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
-use hinge_raft::{Config, Node, NodeId, Status, Term};
+use hinge_raft::{Config, Membership, Node, NodeId, Status, Term};
 use hinge_schema::messages::{
     DrainRecord, JoinControl, JoinedControl, OrderRecord, RemovedControl,
 };
@@ -103,6 +103,9 @@
     pub(crate) may_answer: bool,
     /// The leader's name and address, if it is known; this instance's own when it leads.
     pub(crate) leader: Option<ControlName>,
+    /// Members whose votes count for a quorum, and members that only follow.
+    pub(crate) voters: usize,
+    pub(crate) learners: usize,
     /// Whether the instance has stopped.
     pub(crate) has_stopped: bool,
     /// Why the instance failed, if it did.
@@ -196,6 +199,7 @@
             tolerated_losses: settings.tolerated_losses,
             election_timeout: settings.election_timeout,
             opened_term: 0,
+            told_members: Membership::default(),
             stop_until: None,
             is_view_old: false,
             standing: standing_sender,
--- a/crates/control/src/driver/joining.rs
+++ b/crates/control/src/driver/joining.rs
@@ -127,7 +127,7 @@
         })
     }
 
-    fn name_of_member(&self, node_id: NodeId) -> Option<&ControlName> {
+    pub(super) fn name_of_member(&self, node_id: NodeId) -> Option<&ControlName> {
         let named = self.state.control().get(&node_id);
         named.or_else(|| self.founding.get(&node_id))
     }
--- a/crates/control/src/driver/thread.rs
+++ b/crates/control/src/driver/thread.rs
@@ -7,7 +7,9 @@
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
-use hinge_raft::{DropReason, EntryKind, Index, Message, Node, NodeId, Output, ReadId, Role, Term};
+use hinge_raft::{
+    DropReason, EntryKind, Index, Membership, Message, Node, NodeId, Output, ReadId, Role, Term,
+};
 use hinge_state::{Command, ControlName, State};
 use hinge_telemetry::log::Part;
 use hinge_telemetry::{error, info};
@@ -41,6 +43,8 @@
     pub(super) election_timeout: Duration,
     /// Term that this instance opened in the state as its leader.
     pub(super) opened_term: Term,
+    /// Members that the last line about them told.
+    pub(super) told_members: Membership,
     pub(super) stop_until: Option<Duration>,
     pub(super) is_view_old: bool,
     pub(super) standing: watch::Sender<Standing>,
@@ -255,8 +259,37 @@
         }
     }
 
+    /// Writes a line when the members of the log are others than before; a quorum is counted among the voters.
+    fn tell_members(&mut self) {
+        let members = self.node.membership();
+        if *members == self.told_members {
+            return;
+        }
+        self.told_members = members.clone();
+        let members = &self.told_members;
+        info!(
+            Part::Control,
+            "The members of the log have changed.",
+            voters = members.voters.len(),
+            quorum = members.quorum(),
+            learners = members.learners.len(),
+            voting = self.names_of(&members.voters),
+            following = self.names_of(&members.learners)
+        );
+    }
+
+    /// Returns the names of some members, or their numbers where the log holds no name yet.
+    fn names_of(&self, members: &[NodeId]) -> String {
+        let names = members.iter().map(|id| match self.name_of_member(*id) {
+            Some(name) => name.instance.to_string(),
+            None => id.to_string(),
+        });
+        names.collect::<Vec<_>>().join(",")
+    }
+
     /// Tells the async tasks what has changed.
     fn tell(&mut self) {
+        self.tell_members();
         let lease_until_us = lease_until_us(&self.node);
         self.lease_until_us.store(lease_until_us, Ordering::Release);
         let mut has_news = false;
@@ -291,6 +324,8 @@
                 && self.opened_term == status.term
                 && self.node.holds_lease(self.now()),
             leader: status.leader.and_then(|leader| self.name_of(leader)),
+            voters: self.told_members.voters.len(),
+            learners: self.told_members.learners.len(),
             has_stopped: false,
             failure: None,
         }
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -12,6 +12,8 @@
 pub(crate) struct Metrics {
     term: Gauge<i64, AtomicI64>,
     leading: Gauge<i64, AtomicI64>,
+    voters: Gauge<i64, AtomicI64>,
+    learners: Gauge<i64, AtomicI64>,
     commits: Gauge<i64, AtomicI64>,
     config_version: Gauge<i64, AtomicI64>,
     members: Gauge<i64, AtomicI64>,
@@ -27,6 +29,11 @@
                 "control_leading",
                 "Whether this instance leads and its lease holds",
             ),
+            voters: registry.gauge(
+                "control_voters",
+                "Members of the log among which a quorum is counted",
+            ),
+            learners: registry.gauge("control_learners", "Members of the log that only follow"),
             commits: registry.gauge("control_commands", "Commands applied since the start"),
             config_version: registry.gauge(
                 "control_config_version",
@@ -45,6 +52,8 @@
         let standing = core.driver.standing.borrow().clone();
         self.term.set(to_gauge(standing.term));
         self.leading.set(i64::from(standing.may_answer));
+        self.voters.set(to_gauge(standing.voters as u64));
+        self.learners.set(to_gauge(standing.learners as u64));
         let commits = core.driver.commits.load(Ordering::Relaxed);
         self.commits.set(to_gauge(commits));
         let view = core.driver.view.load();
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -1,13 +1,16 @@
 //! Holds the routes and endpoints that a gateway knows.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use hinge_routing::Lookup;
 use hinge_schema::routing::{EndpointList, EndpointState, RouteTable};
 use hinge_telemetry::info;
 use hinge_telemetry::log::Part;
+use tokio::time::Instant;
 
 use crate::admit::{Admitter, Ways};
 use crate::endpoint::Endpoint;
@@ -42,6 +45,9 @@
     writer: Mutex<()>,
     /// How to reach the admissions beside the endpoints; none where there are none.
     admissions: Option<Ways>,
+    began: Instant,
+    /// When control last said that this is the newest that it knows, in milliseconds since `began`.
+    confirmed_ms: AtomicU64,
 }
 
 impl Held {
@@ -51,9 +57,23 @@
             current: ArcSwap::default(),
             writer: Mutex::default(),
             admissions,
+            began: Instant::now(),
+            confirmed_ms: AtomicU64::new(0),
         }
     }
 
+    /// Notes that control has just told what is newer than what is held, or that nothing is.
+    pub(crate) fn confirm(&self) {
+        let now_ms = u64::try_from(self.began.elapsed().as_millis()).unwrap_or(u64::MAX);
+        self.confirmed_ms.store(now_ms, Ordering::Relaxed);
+    }
+
+    /// Returns the time since control last confirmed what is held; since the start where it never has.
+    pub(crate) fn age(&self) -> Duration {
+        let confirmed = Duration::from_millis(self.confirmed_ms.load(Ordering::Relaxed));
+        self.began.elapsed().saturating_sub(confirmed)
+    }
+
     /// Returns what is held, without a lock.
     pub(crate) fn current(&self) -> Arc<Fleet> {
         self.current.load_full()
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -12,8 +12,9 @@
 use hinge_telemetry::log::Part;
 use hinge_telemetry::readiness::{Readiness, Reason};
 use hinge_telemetry::{info, warn};
+use prometheus_client::metrics::gauge::Gauge;
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::fleet::Held;
 
@@ -27,6 +28,9 @@
 /// Wait after a failure at every instance that was asked; an election takes a second or two.
 const RETRY: Duration = Duration::from_millis(100);
 
+/// Least time between two lines about control, while no instance answers.
+const TELL_EVERY: Duration = Duration::from_secs(1);
+
 /// Follows control until the task is aborted.
 pub(crate) async fn run(
     client: Client,
@@ -34,32 +38,50 @@
     seeds: watch::Receiver<Vec<Box<str>>>,
     held: Arc<Held>,
     readiness: Arc<Readiness>,
+    table_age_ms: Gauge,
 ) {
     let mut targets = Targets::new(&seeds.borrow(), rand::random::<u32>() as usize);
+    let mut told_at = Instant::now();
     loop {
         let was_followed = targets.is_followed();
-        match ask_any(&client, &instance, &held, &targets.to_ask()).await {
+        let asked = ask_any(&client, &instance, &held, &targets.to_ask()).await;
+        let without = held.age();
+        table_age_ms.set(i64::try_from(without.as_millis()).unwrap_or(i64::MAX));
+        match asked {
             Ok((address, update)) => {
                 if !was_followed {
-                    info!(Part::Gateway, "Following control.", address = address);
+                    info!(
+                        Part::Gateway,
+                        "Following control.",
+                        address = address,
+                        without_ms = without.as_millis()
+                    );
                 }
                 targets.answered(&address, &update.control, &seeds.borrow());
                 let has_table = update.table.is_some() || held.current().table_number() > 0;
                 learn(&held, update, &readiness);
+                held.confirm();
                 if !has_table {
                     sleep(RETRY).await;
                 }
             }
             Err(cause) => {
                 targets.failed(&seeds.borrow());
-                if was_followed {
+                if was_followed || told_at.elapsed() >= TELL_EVERY {
+                    told_at = Instant::now();
                     warn!(
                         Part::Gateway,
-                        "Lost control.",
+                        if was_followed {
+                            "Lost control."
+                        } else {
+                            "Still without control."
+                        },
                         cause = cause,
+                        without_ms = without.as_millis(),
                         table = held.current().table_number()
                     );
-                } else {
+                }
+                if !was_followed {
                     sleep(RETRY).await;
                 }
             }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -219,6 +219,7 @@
                 given,
                 held,
                 Arc::clone(&readiness),
+                shared.metrics.table_age_ms.clone(),
             )),
         ];
         info!(
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -3,6 +3,7 @@
 use hinge_telemetry::metrics::{HistogramFamily, LATENCY_SECONDS, Registry, TeamLabels};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 
 use crate::job::Job;
 
@@ -21,6 +22,8 @@
     pub(crate) connections: Counter,
     pub(crate) connections_closed: Counter,
     pub(crate) resumed: Counter,
+    /// Time since control last confirmed the route table, in milliseconds.
+    pub(crate) table_age_ms: Gauge,
 }
 
 impl Metrics {
@@ -51,6 +54,10 @@
                 "Connections of callers that were closed because there were too many.",
             ),
             resumed: registry.counter("gateway_resumed", "Streams that went on elsewhere."),
+            table_age_ms: registry.gauge(
+                "gateway_table_age_ms",
+                "Milliseconds since control last confirmed the route table, as of the last answer or failure.",
+            ),
         }
     }
 
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -227,7 +227,8 @@
             outcome = refusal.name(),
             status = status,
             path = parts.uri.path(),
-            table = fleet.table_number()
+            table = fleet.table_number(),
+            table_age_ms = gateway.held.age().as_millis()
         );
     }
     let mut response = refusal.response();
