--- a/crates/control/tests/roles/fleet.rs
+++ b/crates/control/tests/roles/fleet.rs
@@ -20,6 +20,8 @@
 pub struct Net {
     sockets: Mutex<BTreeMap<Box<str>, Box<str>>>,
     isolated: Mutex<BTreeSet<Box<str>>>,
+    /// Instances that reach each other, and nobody else; empty while the net is whole.
+    apart: Mutex<BTreeSet<Box<str>>>,
 }
 
 #[derive(Debug)]
@@ -31,7 +33,9 @@
 impl Dial for From {
     fn resolve(&self, address: &str) -> Option<Box<str>> {
         let isolated = self.net.isolated.lock().expect("no test panics in here");
-        let is_cut = isolated.contains(&self.name) || isolated.contains(address);
+        let apart = self.net.apart.lock().expect("no test panics in here");
+        let is_between = apart.contains(&self.name) != apart.contains(address);
+        let is_cut = is_between || isolated.contains(&self.name) || isolated.contains(address);
         if is_cut && *self.name != *address {
             return None;
         }
@@ -48,6 +52,12 @@
             .insert(name.into());
     }
 
+    /// Cuts some instances off from all others, and not from each other.
+    pub fn split(&self, apart: &BTreeSet<Box<str>>) {
+        let mut held = self.apart.lock().expect("no test panics in here");
+        held.clone_from(apart);
+    }
+
     pub fn heal(&self, name: &str) {
         self.isolated
             .lock()
--- /dev/null
+++ b/crates/control/tests/roles/halves.rs
@@ -0,0 +1,150 @@
+//! Checks control while its instances are cut in two.
+//!
+//! Seven instances were cut in two for seven seconds. Five of them voted, whichever had been ready first, and three of the
+//! five were on the side with three instances: it went on and took in 20 route tables. The other side had four
+//! instances, two voters and no leader. The gateways on its machines reached no control but those four, and served by
+//! the table from before the cut until its end: a new route got 404, a route that had been moved its old target. The lines
+//! of one of them settled it; nothing stands between them, and the gateways of all other machines followed within a second:
+//!
+//! ```text
+//! 09:22.342 san-isidro-2/control info [control] Took a route table. number=29 in_force=29
+//! 09:23.507 la-molina-2/control warn [control] A configuration got no answer. number=41 cause="no leader answered in time; ..."
+//! 09:25.705 la-molina-2/gateway info [gateway] Request. outcome=complete status=200 attempts=1 table=8
+//! 09:28.293 la-molina-2/gateway info [gateway] Following control. address=10.2.0.7:8584
+//! 09:28.293 la-molina-2/gateway info [gateway] A route table is in force. number=75 before=8
+//! ```
+
+use std::collections::BTreeSet;
+
+use hinge_cases::async_cases;
+use hinge_control::WATCH_ROUTES_PATH;
+use hinge_schema::messages::{AskStatus, Status, StatusReply};
+use hinge_schema::routing::{
+    CallerLimits, PutTable, RouteTable, RoutesUpdate, TableHeld, WatchRoutes,
+};
+use serde_bytes::ByteBuf;
+
+use crate::fleet::{Fleet, pause};
+
+/// Tries after which a side has no leader: an election takes some 200 of them, each with a pause of 5 ms.
+const TRIES: usize = 3_000;
+
+/// Looks in a row in which nobody joins or is promoted, after which the members stay as they are.
+const SETTLED_LOOKS: usize = 300;
+
+fn table(number: u64) -> PutTable {
+    let limits = CallerLimits {
+        max_header_bytes: 1,
+        max_body_bytes: 1,
+        header_timeout_ms: 1,
+        idle_timeout_ms: 1,
+    };
+    let table = RouteTable {
+        number,
+        routes: Vec::new(),
+        services: Vec::new(),
+        limits,
+        tokens_per_s: 0,
+        teams: Vec::new(),
+        document: ByteBuf::new(),
+    };
+    PutTable { table }
+}
+
+async fn status(fleet: &Fleet) -> Status {
+    let ask = AskStatus {
+        wait_version: 0,
+        wait_ms: 0,
+    };
+    loop {
+        let leader = fleet.leader().await;
+        if let StatusReply::Status(status) = fleet.operate(&leader, "status", &ask).await {
+            return status;
+        }
+        pause().await;
+    }
+}
+
+/// Starts seven instances, of which two may be lost at once, and waits until no further one is promoted.
+async fn seven() -> Fleet {
+    let mut fleet = Fleet::start_tolerating(3, 2).await;
+    for name in ["control-3", "control-4", "control-5", "control-6"] {
+        fleet.open(name, false).await;
+    }
+    let (mut voters, mut looks) = (0, 0);
+    while looks < SETTLED_LOOKS {
+        let control = status(&fleet).await.control;
+        let counted = control.iter().filter(|instance| instance.voter).count();
+        let is_same = control.len() == 7 && counted == voters;
+        looks = if is_same { looks + 1 } else { 0 };
+        voters = counted;
+        pause().await;
+    }
+    fleet
+}
+
+/// Returns the smaller side of a cut: the leader and two other voters.
+async fn leader_and_two_voters(fleet: &Fleet) -> BTreeSet<Box<str>> {
+    let leader = fleet.leader().await;
+    let control = status(fleet).await.control;
+    let voters = control.into_iter().filter(|instance| instance.voter);
+    let voters = voters.map(|instance| instance.instance);
+    let mut others: Vec<Box<str>> = voters.filter(|name| *name != leader).collect();
+    others.truncate(2);
+    others.into_iter().chain([leader]).collect()
+}
+
+/// Puts a table as an operator does who reaches both sides, and returns whether any instance took it.
+async fn put(fleet: &Fleet, number: u64) -> bool {
+    let message = table(number);
+    for _ in 0..TRIES {
+        for name in fleet.running.keys() {
+            let put = fleet.call::<_, TableHeld>(name, "/v1/routes/put", &message);
+            if put.await.is_ok_and(|held| held.number >= number) {
+                return true;
+            }
+        }
+        pause().await;
+    }
+    false
+}
+
+/// Returns whether a gateway that reaches only some instances learns of a table.
+async fn is_told(fleet: &Fleet, reached: &[&str], number: u64) -> bool {
+    let watch = WatchRoutes {
+        instance: "gateway-1".into(),
+        table_number: number - 1,
+        endpoints_version: u64::MAX,
+        wait_ms: 100,
+    };
+    for _ in 0..TRIES {
+        for name in reached {
+            let watched = fleet.call::<_, RoutesUpdate>(name, WATCH_ROUTES_PATH, &watch);
+            let Ok(update) = watched.await else { continue };
+            if update.table.is_some_and(|table| table.number >= number) {
+                return true;
+            }
+        }
+        pause().await;
+    }
+    false
+}
+
+async_cases! { real
+    a_change_is_in_force_where_most_instances_are => {
+        let fleet = seven().await;
+        assert!(put(&fleet, 1).await, "a whole control takes a table");
+        let smaller = leader_and_two_voters(&fleet).await;
+        let all = || fleet.running.keys().map(|name| &**name);
+        let larger: Vec<&str> = all().filter(|name| !smaller.contains(*name)).collect();
+        assert_eq!((smaller.len(), larger.len()), (3, 4));
+        fleet.net.split(&smaller);
+        assert!(put(&fleet, 2).await, "one side goes on");
+        assert!(is_told(&fleet, &larger, 2).await, "an accepted table is in force on the machines of the larger side");
+        fleet.net.split(&BTreeSet::new());
+        assert!(put(&fleet, 3).await, "control goes on after the cut");
+        for name in all() {
+            assert!(is_told(&fleet, &[name], 3).await, "{name} is told");
+        }
+    }
+}
--- a/crates/control/tests/roles/main.rs
+++ b/crates/control/tests/roles/main.rs
@@ -2,4 +2,5 @@
 
 mod control;
 mod fleet;
+mod halves;
 mod relay;
