Let all control instances vote, or all but one, so that most instances hold the quorum

Cause: five of seven instances voted, whichever were ready first. A cut of four from three could leave three of the five with the three, and the gateways beside the four served by the table from before the cut until it ended. Ruled out: a follower that lags and does not know it (the four gateways followed nobody); watches that time out for want of processor time (gateways with a third of it held every table). Change: beyond the least number, learners are promoted two at a time, up to nine; a silent voter still gives its place first. Conclusion: a side with more than half of the instances has more than half of the votes. Beyond nine instances that does not hold.

--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -7,6 +7,7 @@
 #[cfg(test)]
 mod tests;
 mod thread;
+mod votes;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
--- a/crates/control/src/driver/joining.rs
+++ b/crates/control/src/driver/joining.rs
@@ -11,6 +11,7 @@
 
 use super::Refused;
 use super::thread::Thread;
+use super::votes::{Members, Vote, vote_for_learner};
 
 /// Silence after which a voter is replaced by an instance that stands ready. A restart takes about a second, and a new
 /// instance counts as repaired four seconds after it starts.
@@ -47,19 +48,8 @@
             Err(cause.to_string())
         } else if let Some(lost) = self.lost_incarnation(join) {
             self.change(now, MembershipChange::Remove(lost))
-        } else if let Some(gone) = self.replaced_voter() {
-            info!(
-                Part::Control,
-                "Replacing a silent instance.",
-                gone = gone,
-                by = join.node_id,
-                address = join.address
-            );
-            self.change(now, MembershipChange::Remove(gone))
-        } else if self.may_promote() {
-            self.change(now, MembershipChange::Promote(join.node_id))
         } else {
-            Err("there are voters enough; remove one first".to_owned())
+            self.give_vote(now, join)
         };
         match changed {
             Ok(()) => waits("on the way"),
@@ -67,6 +57,36 @@
         }
     }
 
+    /// Lets a learner that is ready vote, or removes the silent voter whose place it takes.
+    ///
+    /// Nobody removes an instance by hand that is lost for good and comes back under another address. A voter that was
+    /// only cut off loses its place as well, and joins again as any other; until then the one that is there counts.
+    fn give_vote(&mut self, now: Duration, join: &JoinControl) -> Result<(), String> {
+        let membership = self.node.membership();
+        let others = membership.learners.iter().filter(|id| **id != join.node_id);
+        let ready = others.filter(|id| self.node.check_promotion(**id).is_ok());
+        let members = Members {
+            voters: membership.voters.len(),
+            other_ready_learners: ready.count(),
+            silent_voter: self.node.silent_voter(REPLACE_AFTER),
+        };
+        let least_voters = 2 * self.tolerated_losses as usize + 1;
+        match vote_for_learner(members, least_voters) {
+            Vote::Give => self.change(now, MembershipChange::Promote(join.node_id)),
+            Vote::TakeFrom(gone) => {
+                info!(
+                    Part::Control,
+                    "Replacing a silent instance.",
+                    gone = gone,
+                    by = join.node_id,
+                    address = join.address
+                );
+                self.change(now, MembershipChange::Remove(gone))
+            }
+            Vote::Wait => Err("an even number of voters bears no more losses".to_owned()),
+        }
+    }
+
     fn change(&mut self, now: Duration, change: MembershipChange) -> Result<(), String> {
         let changed = self.node.propose_membership(now, change);
         changed.map(|_place| ()).map_err(|cause| cause.to_string())
@@ -132,28 +152,6 @@
         named.or_else(|| self.founding.get(&node_id))
     }
 
-    /// Returns a voter whose place a joiner takes that is ready for it: one that has been silent for too long.
-    ///
-    /// Nobody removes an instance by hand that is lost for good and comes back under another address. A voter that was
-    /// only cut off loses its place as well, and joins again as any other; until then the one that is there counts.
-    fn replaced_voter(&self) -> Option<NodeId> {
-        if self.may_promote() {
-            return None;
-        }
-        self.node.silent_voter(REPLACE_AFTER)
-    }
-
-    /// Returns whether a further voter is wanted.
-    ///
-    /// Without a number to reach, an odd number of them stays odd only by replacement.
-    fn may_promote(&self) -> bool {
-        let voters = self.node.membership().voters.len();
-        match self.tolerated_losses {
-            0 => voters.is_multiple_of(2),
-            losses => voters < 2 * losses as usize + 1,
-        }
-    }
-
     /// Drops the names of incarnations that are gone, once the joiner has taken their place.
     fn forget_lost(&mut self, now: Duration, join: &JoinControl) {
         let membership = self.node.membership();
--- /dev/null
+++ b/crates/control/src/driver/votes.rs
@@ -0,0 +1,61 @@
+//! Decides which instances vote in the log.
+//!
+//! The load pattern: control is cut in two while operators go on changing routes. Gateways beside control instances reach only
+//! those of their own side, so the side that goes on must be the one with more instances. It is when all instances vote, or
+//! all but one where their number is even: a side with more than half of the instances then has more than half of the votes.
+
+#[cfg(test)]
+mod tests;
+
+use hinge_raft::NodeId;
+
+/// Most instances that vote. Nine bear the loss of four, twice what a fleet of today is asked to bear, and a commit waits for
+/// more than half of the voters, so each further one makes it dearer.
+pub(super) const MOST_VOTERS: usize = 9;
+
+/// Tells what a leader knows of the members when a learner that is ready asks for a vote.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Members {
+    /// Instances that vote.
+    pub(super) voters: usize,
+    /// Further learners that are ready, beside the one that asks.
+    pub(super) other_ready_learners: usize,
+    /// A voter that has been silent for too long.
+    pub(super) silent_voter: Option<NodeId>,
+}
+
+/// Says what a leader does for a learner that is ready and asks for a vote.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Vote {
+    /// It votes from now on.
+    Give,
+    /// A silent voter is removed first, whose place it takes when it asks again.
+    TakeFrom(NodeId),
+    /// It stays a learner.
+    Wait,
+}
+
+/// Returns what to do for a learner that is ready, where at least `least_voters` are wanted.
+///
+/// Beyond the least number, votes are given two at a time, as an even number bears no more losses than one less, and splits
+/// into halves of which neither goes on.
+pub(super) fn vote_for_learner(members: Members, least_voters: usize) -> Vote {
+    let Members {
+        voters,
+        other_ready_learners,
+        silent_voter,
+    } = members;
+    if voters < least_voters {
+        return Vote::Give;
+    }
+    if let Some(gone) = silent_voter {
+        return Vote::TakeFrom(gone);
+    }
+    let makes_odd = voters.is_multiple_of(2);
+    let has_room_for_two = voters + 2 <= MOST_VOTERS && other_ready_learners > 0;
+    if makes_odd || has_room_for_two {
+        Vote::Give
+    } else {
+        Vote::Wait
+    }
+}
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -31,7 +31,7 @@
     pub peers: Vec<Peer>,
     /// Whether an empty folder may form a new fleet from `peers`.
     pub bootstrap: bool,
-    /// Instances that may be lost at once: the log gets two voters for each and one more, as far as there are instances.
+    /// Instances that may be lost at once: the log gets at least two voters for each and one more, as far as there are instances.
     /// With 0 it keeps the number that it was founded with.
     pub tolerated_losses: u32,
     /// Time without a leader after which an election begins.
--- a/crates/raft/src/membership.rs
+++ b/crates/raft/src/membership.rs
@@ -6,8 +6,8 @@
 use crate::node::{Node, State};
 use crate::types::{Entry, EntryKind, Index, Membership, NodeId, Term};
 
-/// Voters that fit on the stack; control has 3 or 5.
-pub(crate) const USUAL_VOTERS: usize = 8;
+/// Voters that fit on the stack; control has 3 to 9.
+pub(crate) const USUAL_VOTERS: usize = 9;
 
 /// Says how to change the membership by one instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
