--- a/crates/control/src/driver/tests.rs
+++ b/crates/control/src/driver/tests.rs
@@ -1,5 +1,7 @@
 //! Checks the order in which the thread publishes its lease and sends.
 
+mod stalled;
+
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -32,7 +32,6 @@
     /// Whether an empty folder may form a new fleet from `peers`.
     pub bootstrap: bool,
     /// Instances that may be lost at once: the log gets at least two voters for each and one more, as far as there are instances.
-    /// With 0 it keeps the number that it was founded with.
     pub tolerated_losses: u32,
     /// Time without a leader after which an election begins.
     pub election_timeout: Duration,
