Give what a control instance knows an age, so that a stalled log answers nothing as current

Cause: the log's thread writes to the disk. While the disk hangs, the thread neither takes in changes nor notices that no heartbeat comes, and its instance goes on naming its leader and telling watchers that nothing is new. Ruled out: the leader, whose lease ends by itself. Change: the thread tells when it last came round; after two election timeouts without that the instance knows no leader, wakes its watches, answers 503 and writes a line. control_log_age_ms is a gauge. What the gateways of a smaller side serve by meanwhile is open.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -6,7 +6,9 @@
 
 use hinge_link::{ClusterKey, Limits, Server, ServerHandle};
 use hinge_state::Command;
+use hinge_telemetry::log::Part;
 use hinge_telemetry::metrics::Registry;
+use hinge_telemetry::{info, warn};
 use tokio::runtime::Handle;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -233,6 +235,7 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let under_way = UnderWay::default();
     let mut count = 0_u64;
+    let mut was_stalled = false;
     loop {
         tokio::select! {
             _ = ticks.tick() => count += 1,
@@ -243,7 +246,12 @@
             }
         }
         let has_news = move_on(&core);
-        if has_news {
+        let is_stalled = core.driver.is_stalled();
+        if is_stalled != was_stalled {
+            was_stalled = is_stalled;
+            tell_stall(&core, is_stalled);
+        }
+        if has_news || is_stalled {
             core.publish();
         }
         if count.is_multiple_of(SUMS_TICKS) {
@@ -255,6 +263,16 @@
     }
 }
 
+/// Writes that the log has stalled, after which watches are answered 503, or that it goes on.
+fn tell_stall(core: &Core, is_stalled: bool) {
+    if is_stalled {
+        let age_ms = core.driver.age().as_millis();
+        warn!(Part::Control, "The log has stalled.", age_ms = age_ms);
+    } else {
+        info!(Part::Control, "The log goes on.");
+    }
+}
+
 /// Brings the soft state in line with the standing, and ticks the members; returns whether watchers have news.
 fn move_on(core: &Core) -> bool {
     let (term, is_leader, may_answer) = {
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -36,7 +36,7 @@
     Here(u64),
     /// Another instance leads, as far as is known.
     There(Box<str>),
-    /// No leader is known, or this one can't be sure that it still leads.
+    /// No leader is known, this one can't be sure that it still leads, or the log has stalled.
     Nowhere,
 }
 
@@ -98,6 +98,9 @@
     }
 
     pub(crate) fn place(&self) -> Place {
+        if self.driver.is_stalled() {
+            return Place::Nowhere;
+        }
         let standing = self.driver.standing.borrow();
         if standing.is_leader {
             return if standing.may_answer && self.driver.holds_lease() {
--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -50,6 +50,10 @@
 /// Parts of a heartbeat interval between two looks at the clock.
 const TICKS_PER_HEARTBEAT: u32 = 4;
 
+/// Election timeouts after which the thread counts as stalled: one, as for a leader that is silent, and one more for the syncs
+/// of a slow disk, which take some hundreds of milliseconds.
+const STALLED_AFTER_TIMEOUTS: u32 = 2;
+
 /// Says why the log gave no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Refused {
@@ -134,6 +138,9 @@
     pub(crate) standing: watch::Receiver<Standing>,
     pub(crate) view: Arc<ArcSwap<View>>,
     lease_until_us: Arc<AtomicU64>,
+    /// When the thread last came round, in microseconds since `began`.
+    round_at_us: Arc<AtomicU64>,
+    stalled_after: Duration,
     began: Instant,
     pub(crate) commits: Arc<AtomicU64>,
 }
@@ -177,6 +184,7 @@
             &BTreeSet::new(),
         )));
         let lease_until_us = Arc::new(AtomicU64::new(0));
+        let round_at_us = Arc::new(AtomicU64::new(0));
         let commits = Arc::new(AtomicU64::new(0));
         let thread = Thread {
             own_name: settings.instance.clone(),
@@ -207,6 +215,7 @@
             published,
             view: Arc::clone(&view),
             lease_until_us: Arc::clone(&lease_until_us),
+            round_at_us: Arc::clone(&round_at_us),
             commits: Arc::clone(&commits),
         };
         std::thread::Builder::new()
@@ -218,6 +227,8 @@
             standing,
             view,
             lease_until_us,
+            round_at_us,
+            stalled_after: settings.election_timeout * STALLED_AFTER_TIMEOUTS,
             began,
             commits,
         })
@@ -229,6 +240,20 @@
         self.began.elapsed().as_micros() < u128::from(until)
     }
 
+    /// Returns the time since the thread last took in what had arrived and told what it knows.
+    pub(crate) fn age(&self) -> Duration {
+        let round_at = Duration::from_micros(self.round_at_us.load(Ordering::Acquire));
+        self.began.elapsed().saturating_sub(round_at)
+    }
+
+    /// Returns whether what the thread has told is too old to be believed.
+    ///
+    /// A disk that hangs holds up the thread, and with it the timeout by which a follower gives up a silent leader. Without this
+    /// an instance named its leader, and told watchers that nothing was new, for as long as the disk hung.
+    pub(crate) fn is_stalled(&self) -> bool {
+        self.age() > self.stalled_after
+    }
+
     /// Hands messages of another instance to the log; returns false when the thread is too far behind.
     pub(crate) fn take(&self, batch: Batch) -> bool {
         self.inputs.try_send(Input::Batch(batch)).is_ok()
--- a/crates/control/src/driver/thread.rs
+++ b/crates/control/src/driver/thread.rs
@@ -51,6 +51,7 @@
     pub(super) published: watch::Sender<u64>,
     pub(super) view: Arc<ArcSwap<View>>,
     pub(super) lease_until_us: Arc<AtomicU64>,
+    pub(super) round_at_us: Arc<AtomicU64>,
     pub(super) commits: Arc<AtomicU64>,
 }
 
@@ -303,6 +304,8 @@
             *known = standing.clone();
             is_new
         });
+        let round_at_us = u64::try_from(self.now().as_micros()).unwrap_or(u64::MAX);
+        self.round_at_us.store(round_at_us, Ordering::Release);
         if has_news {
             self.published.send_modify(|count| *count += 1);
         }
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -12,6 +12,7 @@
 pub(crate) struct Metrics {
     term: Gauge<i64, AtomicI64>,
     leading: Gauge<i64, AtomicI64>,
+    log_age_ms: Gauge<i64, AtomicI64>,
     voters: Gauge<i64, AtomicI64>,
     learners: Gauge<i64, AtomicI64>,
     commits: Gauge<i64, AtomicI64>,
@@ -29,6 +30,10 @@
                 "control_leading",
                 "Whether this instance leads and its lease holds",
             ),
+            log_age_ms: registry.gauge(
+                "control_log_age_ms",
+                "Milliseconds since the log's thread last came round",
+            ),
             voters: registry.gauge(
                 "control_voters",
                 "Members of the log among which a quorum is counted",
@@ -52,6 +57,9 @@
         let standing = core.driver.standing.borrow().clone();
         self.term.set(to_gauge(standing.term));
         self.leading.set(i64::from(standing.may_answer));
+        let age_ms = core.driver.age().as_millis();
+        self.log_age_ms
+            .set(i64::try_from(age_ms).unwrap_or(i64::MAX));
         self.voters.set(to_gauge(standing.voters as u64));
         self.learners.set(to_gauge(standing.learners as u64));
         let commits = core.driver.commits.load(Ordering::Relaxed);
