--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -28,6 +28,7 @@
 mod settings;
 mod soft;
 mod upgrade;
+mod watchers;
 
 pub use caller::{Dial, Direct};
 pub use control::{Control, Stopped};
--- a/crates/control/src/routing_calls.rs
+++ b/crates/control/src/routing_calls.rs
@@ -300,8 +300,13 @@
 async fn watch(core: Arc<Core>, message: WatchRoutes) -> Result<RoutesUpdate, StatusCode> {
     let wait = Duration::from_millis(message.wait_ms).min(core.settings.watch_timeout);
     let deadline = Instant::now() + wait;
+    if let Some(address) = &message.peer_address {
+        let now = core.now();
+        let watchers = &mut core.soft().watchers;
+        watchers.note(now, &message.instance, address);
+    }
     if message.table_number == 0 {
-        return first_table(core).await;
+        return first_table(core, &message).await;
     }
     let mut published = core.published.subscribe();
     loop {
@@ -326,13 +331,14 @@
 ///
 /// What is applied here may be older right after a restart, and a gateway must not begin with a table that a newer one
 /// has replaced.
-async fn first_table(core: Arc<Core>) -> Result<RoutesUpdate, StatusCode> {
+async fn first_table(core: Arc<Core>, message: &WatchRoutes) -> Result<RoutesUpdate, StatusCode> {
     let current = ask(Arc::clone(&core), AskTable {}).await?;
     let view = core.driver.view.load();
     Ok(RoutesUpdate {
         table: current.table.map(|table| without_document(&table)),
         endpoints: Some(view.routing.list()),
         control: view.control.clone(),
+        gateways: other_gateways(&core, message),
     })
 }
 
@@ -354,5 +360,11 @@
         table: table.map(|table| without_document(table)),
         endpoints: has_endpoints.then(|| routing.list()),
         control: view.control.clone(),
+        gateways: other_gateways(core, message),
     }
 }
+
+fn other_gateways(core: &Core, message: &WatchRoutes) -> Vec<Box<str>> {
+    let draw = rand::random::<u32>() as usize;
+    core.soft().watchers.others(&message.instance, draw)
+}
--- a/crates/control/src/soft.rs
+++ b/crates/control/src/soft.rs
@@ -11,6 +11,7 @@
 use rand::rngs::StdRng;
 
 use crate::refused::RefusedReports;
+use crate::watchers::Watchers;
 
 /// Pools whose sums are kept; a report on further ones is refused, so that wrong names can't fill the memory.
 pub(crate) const MAX_POOLS: usize = 256;
@@ -27,6 +28,8 @@
     pub(crate) heard: Heard,
     /// Reports of endpoints that this instance refused.
     pub(crate) refused_reports: RefusedReports,
+    /// Gateways that follow this instance.
+    pub(crate) watchers: Watchers,
     pub(crate) rng: StdRng,
 }
 
@@ -39,6 +42,7 @@
             totals: BTreeMap::new(),
             heard: Heard::default(),
             refused_reports: RefusedReports::default(),
+            watchers: Watchers::default(),
             rng: StdRng::seed_from_u64(rand::random()),
         }
     }
--- /dev/null
+++ b/crates/control/src/watchers/tests.rs
@@ -0,0 +1,42 @@
+//! Checks which gateways are named to each other.
+
+use std::time::Duration;
+
+use hinge_cases::cases;
+
+use super::{NAMED, REMEMBER, Watchers};
+
+fn five() -> Watchers {
+    let mut watchers = Watchers::default();
+    for number in 1..=5 {
+        let (name, address) = (format!("gateway-{number}"), format!("10.0.0.{number}:1"));
+        watchers.note(Duration::ZERO, &name, &address);
+    }
+    watchers
+}
+
+cases! {
+    a_gateway_is_named_others_and_never_itself => {
+        for draw in 0..10 {
+            let named = five().others("gateway-2", draw);
+            assert_eq!(named.len(), NAMED);
+            assert!(!named.contains(&"10.0.0.2:1".into()), "{named:?}");
+        }
+    }
+    every_other_one_is_named_by_some_draw => {
+        let mut named: Vec<_> = (0..4).flat_map(|draw| five().others("gateway-2", draw)).collect();
+        named.sort_unstable();
+        named.dedup();
+        assert_eq!(named.len(), 4);
+    }
+    the_only_gateway_is_named_nobody => {
+        let mut watchers = Watchers::default();
+        watchers.note(Duration::ZERO, "gateway-1", "10.0.0.1:1");
+        assert!(watchers.others("gateway-1", 7).is_empty());
+    }
+    one_that_has_long_been_silent_is_not_named => {
+        let mut watchers = five();
+        watchers.note(REMEMBER, "gateway-6", "10.0.0.6:1");
+        assert_eq!(watchers.others("gateway-1", 0), ["10.0.0.6:1".into()]);
+    }
+}
--- a/crates/control/tests/roles/halves.rs
+++ b/crates/control/tests/roles/halves.rs
@@ -113,6 +113,7 @@
 async fn is_told(fleet: &Fleet, reached: &[&str], number: u64) -> bool {
     let watch = WatchRoutes {
         instance: "gateway-1".into(),
+        peer_address: None,
         table_number: number - 1,
         endpoints_version: u64::MAX,
         wait_ms: 100,
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -121,6 +121,7 @@
         let fleet = held.current();
         WatchRoutes {
             instance: instance.into(),
+            peer_address: None,
             table_number: fleet.table_number(),
             endpoints_version: fleet.endpoints_version,
             wait_ms: u64::try_from(WATCH.as_millis()).unwrap_or(u64::MAX),
