Split the asks and their order out of the admission's queue, and share the tests' status call

Change: ask.rs describes asks and decisions, order.rs puts them in order by a pure function of uses and a share; behaviour stays as it is, and the tests keep their assertions.

--- a/crates/admission/src/asks.rs
+++ b/crates/admission/src/asks.rs
@@ -13,7 +13,7 @@
 use tokio::sync::mpsc;
 use viz::Body;
 
-use crate::queue::{Ask, AskId, Decision};
+use crate::ask::{Ask, AskId, Decision};
 use crate::serve::{Shared, load, millis, stopped};
 
 /// Says what a gateway is told of an ask.
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -4,18 +4,21 @@
 //! queue, without any I/O, and [`Server`] serves it. The answers don't pass through here; a gateway that can't reach the
 //! admission sends unasked.
 
+mod ask;
 mod asks;
 mod cache;
 mod engine;
+mod order;
 mod pace;
 mod queue;
 mod serve;
 mod turn;
 mod usage;
 
+pub use ask::{Ask, AskId, Decision, Load, Rules};
 pub use cache::Cache;
 pub use engine::{Engine, Report, Run};
 pub use pace::Pace;
-pub use queue::{Admission, Ask, AskId, Decision, Load, Rules};
+pub use queue::Admission;
 pub use serve::{ASKS_PATH, LOAD_PATH, Server};
 pub use usage::Usage;
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -2,27 +2,22 @@
 //!
 //! The load pattern: callers ask for up to several times of what the engines can do, some teams for most of it, and an
 //! engine that takes everything answers everybody late. So the engine gets only as much to read as keeps it busy over a
-//! round trip; the rest waits here, where the order can still change: teams within their share by rank, then the team with
-//! the least use lately at all engines, then the one whose budget ends first. A request whose turn would come too late to be on time is turned
-//! away at once, with the time at which the queue is expected to be read.
+//! round trip; the rest waits here, where the order can still change. A request whose turn would come too late to be on time
+//! is turned away at once, with the time at which the queue is expected to be read.
 
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use smallvec::SmallVec;
 
+use crate::ask::{Ask, AskId, Decision, Load, Rules};
 use crate::cache::Cache;
 use crate::engine::{Report, Run};
+use crate::order::{Waiting, order_of};
 use crate::pace::Pace;
-use crate::turn::{precedence, reference, step_of, step_tokens, turn_permille};
+use crate::turn::{reference, turn_permille};
 use crate::usage::Usage;
 
-/// Numbers an ask.
-pub type AskId = u64;
-
-/// Weight of a generated token against a read one in a team's use, as the tables count throughput.
-const ANSWER_WEIGHT: u32 = 2;
-
 /// Time from a prompt's reading to the first piece of its answer that is assumed at first: the steps of one event beside
 /// prompts that are read, and the way back.
 const FIRST_EVENT: Duration = Duration::from_millis(60);
@@ -65,81 +60,6 @@
 /// Shortest time after which a caller is asked to come back; a few requests are read in it.
 pub const SHORTEST_RETRY: Duration = Duration::from_millis(100);
 
-/// Sets the bounds of an admission.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Rules {
-    /// Prompt tokens that the engine may have before it besides the request that goes next.
-    pub max_unread_tokens: u32,
-    /// Requests that the engine runs at once.
-    pub max_running: u32,
-    /// Memory of the engine, in tokens, until it reports it.
-    pub kv_tokens: u64,
-    /// Part of a request's budget in which its turn must come, in thousandths.
-    pub turn_permille: u32,
-}
-
-/// Describes a request that asks for a place.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Ask {
-    /// Number of the request, by which the engine's reports name it.
-    pub request_id: Box<str>,
-    /// Team; empty when it has none.
-    pub team: Box<str>,
-    /// Rank: 0 goes before everything; later ones count while the team is within its share.
-    pub rank: u32,
-    /// Tokens of the prompt.
-    pub prompt_tokens: u32,
-    /// Most tokens of the answer.
-    pub answer_tokens: u32,
-    /// Number and tokens of the shared parts of the prompt.
-    pub shared: Option<(u64, u32)>,
-    /// Time from the ask in which the answer must begin to be on time.
-    pub budget: Duration,
-    /// What the team has used lately at other engines, in tokens.
-    pub elsewhere_tokens: u64,
-}
-
-/// Says what becomes of an ask.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Decision {
-    /// The request may be sent.
-    Grant {
-        /// Ask.
-        id: AskId,
-        /// How long it waited.
-        waited: Duration,
-        /// Tokens that the engine reads first.
-        ahead_tokens: u32,
-    },
-    /// The request can't be on time.
-    Refuse {
-        /// Ask.
-        id: AskId,
-        /// When room is expected.
-        retry_after: Duration,
-        /// Tokens that would be read first.
-        ahead_tokens: u32,
-    },
-}
-
-/// Describes the load.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Load {
-    /// Requests that run.
-    pub running: u32,
-    /// Prompt tokens that are admitted and not read.
-    pub unread_tokens: u32,
-    /// Prompt tokens of asks that wait.
-    pub waiting_tokens: u32,
-}
-
-#[derive(Debug)]
-struct Waiting {
-    id: AskId,
-    ask: Ask,
-    since: Duration,
-}
-
 #[derive(Debug)]
 struct Running {
     request_id: Box<str>,
@@ -518,51 +438,8 @@
     }
 
     /// Returns the places of the waiting asks in the order of their turns.
-    ///
-    /// Each turn adds to its team's use, so that a team with many asks does not take all the turns at once.
     fn order(&self, now: Duration) -> Vec<usize> {
-        let mut used: HashMap<&str, f64> = HashMap::new();
-        for waiting in &self.waiting {
-            let team = &waiting.ask.team;
-            used.entry(team).or_insert_with(|| self.used(now, team));
-        }
-        let most = used.values().copied().fold(0.0, f64::max);
-        let step_tokens = step_tokens(most);
-        let mut left: Vec<usize> = (0..self.waiting.len()).collect();
-        let mut order = Vec::with_capacity(left.len());
-        while let Some((place, next)) = self.next_of(&left, &used, step_tokens) {
-            left.swap_remove(place);
-            order.push(next);
-            let ask = &self.waiting[next].ask;
-            let team_use = used.get_mut(&*ask.team).expect("every team was put there");
-            *team_use += f64::from(service_tokens(ask));
-        }
-        order
-    }
-
-    fn next_of(
-        &self,
-        left: &[usize],
-        used: &HashMap<&str, f64>,
-        step_tokens: f64,
-    ) -> Option<(usize, usize)> {
-        let places = left.iter().copied().enumerate();
-        places.min_by(|(_, a), (_, b)| {
-            let (a, b) = (&self.waiting[*a], &self.waiting[*b]);
-            let by_rank = {
-                let precedence = |ask: &Ask| precedence(ask.rank, used[&*ask.team], self.share);
-                precedence(&a.ask).cmp(&precedence(&b.ask))
-            };
-            let by_use = {
-                let step = |ask: &Ask| step_of(used[&*ask.team], step_tokens);
-                step(&a.ask).cmp(&step(&b.ask))
-            };
-            let (a_ends, b_ends) = (a.since + a.ask.budget, b.since + b.ask.budget);
-            by_rank
-                .then(by_use)
-                .then(a_ends.cmp(&b_ends))
-                .then(a.id.cmp(&b.id))
-        })
+        order_of(&self.waiting, self.share, |team| self.used(now, team))
     }
 
     fn grant(&mut self, now: Duration, next: &Waiting) -> Decision {
@@ -576,7 +453,7 @@
         if let Some((key, tokens)) = ask.shared {
             self.cache.touch(key, u64::from(tokens), self.running_kv);
         }
-        self.usage.add(now, &ask.team, service_tokens(ask));
+        self.usage.add(now, &ask.team, ask.service_tokens());
         self.share_until = Duration::ZERO;
         self.unread_tokens += unread_tokens;
         self.pace.busy(now);
@@ -600,11 +477,6 @@
     }
 }
 
-fn service_tokens(ask: &Ask) -> u32 {
-    ask.prompt_tokens
-        .saturating_add(ask.answer_tokens.saturating_mul(ANSWER_WEIGHT))
-}
-
 /// Returns a key for a request's own part that no shared part has: those are spread over all numbers.
 fn own_part(id: AskId) -> u64 {
     id
--- a/crates/admission/src/serve.rs
+++ b/crates/admission/src/serve.rs
@@ -17,9 +17,10 @@
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
 use viz::{Body, Request, Router};
 
+use crate::ask::{Ask, AskId, Decision, Rules};
 use crate::asks::{self, Asker, News};
 use crate::engine::{Engine, Report};
-use crate::queue::{Admission, Ask, AskId, Decision, Rules};
+use crate::queue::Admission;
 
 /// Path of the exchange that carries the asks of one gateway for places.
 pub const ASKS_PATH: &str = "/v1/asks";
--- a/crates/control/tests/roles/control.rs
+++ b/crates/control/tests/roles/control.rs
@@ -45,35 +45,11 @@
 
 /// Waits until an instance counts for the quorum.
 async fn until_voter(fleet: &Fleet, node_id: u64) {
-    loop {
-        let leader = fleet.leader().await;
-        let status = AskStatus {
-            wait_version: 0,
-            wait_ms: 0,
-        };
-        if let StatusReply::Status(status) = fleet.operate(&leader, "status", &status).await
-            && status
-                .control
-                .iter()
-                .any(|instance| instance.node_id == node_id && instance.voter)
-        {
-            return;
-        }
-        pause().await;
-    }
-}
-
-/// Returns the status at the leader, once there is one that answers.
-async fn status_of(fleet: &Fleet) -> Status {
-    let ask = AskStatus {
-        wait_version: 0,
-        wait_ms: 0,
+    let is_voter = |status: Status| {
+        let mut control = status.control.into_iter();
+        control.any(|instance| instance.node_id == node_id && instance.voter)
     };
-    loop {
-        let leader = fleet.leader().await;
-        if let StatusReply::Status(status) = fleet.operate(&leader, "status", &ask).await {
-            return status;
-        }
+    while !is_voter(fleet.status().await) {
         pause().await;
     }
 }
@@ -233,7 +209,7 @@
             fleet.open(name, false).await;
         }
         let voters = loop {
-            let status = status_of(&fleet).await;
+            let status = fleet.status().await;
             let voters = status.control.iter().filter(|instance| instance.voter).count();
             if status.control.len() == 6 && voters >= 5 {
                 break voters;
@@ -243,7 +219,7 @@
         assert_eq!(voters, 5, "an even number of voters bears no more losses than one less");
         assert_eq!(version(&fleet.apply(&change("before", 0, vec![team("surf", 1)])).await), 1);
         let leader = fleet.leader().await;
-        let lost: Vec<Box<str>> = status_of(&fleet).await.control.iter()
+        let lost: Vec<Box<str>> = fleet.status().await.control.iter()
             .filter(|instance| instance.voter && instance.instance != leader)
             .map(|instance| instance.instance.clone())
             .take(2)
--- a/crates/control/tests/roles/fleet.rs
+++ b/crates/control/tests/roles/fleet.rs
@@ -7,7 +7,9 @@
 
 use hinge_control::{Control, ControlSettings, Dial, OperatorKeys, Peer};
 use hinge_link::{CallError, Client, ClusterKey};
-use hinge_schema::messages::{Announce, Apply, ApplyReply, ConfigFile, Role};
+use hinge_schema::messages::{
+    Announce, Apply, ApplyReply, AskStatus, ConfigFile, Role, Status, StatusReply,
+};
 use hinge_telemetry::metrics::Registry;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -210,6 +212,21 @@
             .expect("the instance answers")
     }
 
+    /// Returns the status at the leader, once there is one that answers.
+    pub async fn status(&self) -> Status {
+        let ask = AskStatus {
+            wait_version: 0,
+            wait_ms: 0,
+        };
+        loop {
+            let leader = self.leader().await;
+            if let StatusReply::Status(status) = self.operate(&leader, "status", &ask).await {
+                return status;
+            }
+            pause().await;
+        }
+    }
+
     /// Applies a change at any instance that answers, as an operator would who lost answers.
     pub async fn apply(&self, apply: &Apply) -> ApplyReply {
         loop {
--- a/crates/control/tests/roles/halves.rs
+++ b/crates/control/tests/roles/halves.rs
@@ -18,7 +18,6 @@
 
 use hinge_cases::async_cases;
 use hinge_control::WATCH_ROUTES_PATH;
-use hinge_schema::messages::{AskStatus, Status, StatusReply};
 use hinge_schema::routing::{
     CallerLimits, PutTable, RouteTable, RoutesUpdate, TableHeld, WatchRoutes,
 };
@@ -51,20 +50,6 @@
     PutTable { table }
 }
 
-async fn status(fleet: &Fleet) -> Status {
-    let ask = AskStatus {
-        wait_version: 0,
-        wait_ms: 0,
-    };
-    loop {
-        let leader = fleet.leader().await;
-        if let StatusReply::Status(status) = fleet.operate(&leader, "status", &ask).await {
-            return status;
-        }
-        pause().await;
-    }
-}
-
 /// Starts seven instances, of which two may be lost at once, and waits until no further one is promoted.
 async fn seven() -> Fleet {
     let mut fleet = Fleet::start_tolerating(3, 2).await;
@@ -73,7 +58,7 @@
     }
     let (mut voters, mut looks) = (0, 0);
     while looks < SETTLED_LOOKS {
-        let control = status(&fleet).await.control;
+        let control = fleet.status().await.control;
         let counted = control.iter().filter(|instance| instance.voter).count();
         let is_same = control.len() == 7 && counted == voters;
         looks = if is_same { looks + 1 } else { 0 };
@@ -86,7 +71,7 @@
 /// Returns the smaller side of a cut: the leader and two other voters.
 async fn leader_and_two_voters(fleet: &Fleet) -> BTreeSet<Box<str>> {
     let leader = fleet.leader().await;
-    let control = status(fleet).await.control;
+    let control = fleet.status().await.control;
     let voters = control.into_iter().filter(|instance| instance.voter);
     let voters = voters.map(|instance| instance.instance);
     let mut others: Vec<Box<str>> = voters.filter(|name| *name != leader).collect();
