Let control run on instances without a disk, as followers that never vote beside one with a disk

Cause: the platform starts control on a fifth of the edge instances of a zone. On the large deployment these are 16, of which five have a disk. Ruled out: `count = 1` in the deploy file takes the second disk of a zone out of use where there are two. Founding among those with a disk only: nobody knows how many there are, so two groups could found two fleets. Change: `control.diskless`. Such an instance is a learner that keeps the log in memory, forwards calls and answers watches. Where the first addresses are such instances they found the fleet, hand their votes to those with a disk, and nothing is acknowledged before. What an instance sends says whether it keeps its log; names in the log say it too. An instance whose log is lost asks whoever still sends to its former incarnation. Tests: crates/control/tests/roles/diskless.rs (five, over sockets), votes/tests.rs (four more), settings. Before the change the five cannot be written: an instance without a folder was a founder or an error.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -89,7 +89,10 @@
         Role::Entry | Role::Relay => &[],
         Role::Sidecar => &[("sidecar", settings.sidecar.is_some())],
         Role::Control => &[
-            ("data_folder", settings.data_folder.is_some()),
+            (
+                "data_folder",
+                settings.data_folder.is_some() || control.diskless,
+            ),
             (
                 "control.peers",
                 !(control.peers.is_empty() && control.founders.is_empty()),
@@ -207,6 +210,10 @@
             ),
         );
     }
+    if control.diskless && settings.data_folder.is_some() {
+        let message = "an instance with a data folder has a disk; allowed is one of the two";
+        refuse("control.diskless", message.to_owned());
+    }
     let mut names: Vec<_> = control.peers.iter().map(|peer| &peer.instance).collect();
     names.sort_unstable();
     if names.windows(2).any(|pair| pair[0] == pair[1]) {
--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -73,6 +73,7 @@
     a_slow_heartbeat => ("[control]\nheartbeat_ms = 501", 5, "control.heartbeat_ms", "allowed are up to 500"),
     room_for_no_body => ("[entry]\nmax_waiting_bytes = 1048576", 5, "entry.max_waiting_bytes", "allowed are 16777216"),
     a_first_start_without_peers => ("[control]\nbootstrap = true", 4, "control.peers", "this instance"),
+    a_folder_without_a_disk => ("data_folder = '/data'\n[control]\ndiskless = true", 6, "control.diskless", "one of the two"),
     a_peer_twice => ("[control]\npeers = [{instance = 'a', address = '10.0.0.1:1'}, {instance = 'a', address = '10.0.0.2:1'}]", 5, "control.peers", "twice"),
 }
 
@@ -82,6 +83,14 @@
     a_control_instance_needs_a_disk => (Role::Control, &["cluster_key_file", "data_folder", "control.peers", "control.operator_keys_file"]),
 }
 
+cases! {
+    a_control_instance_that_says_so_needs_no_disk => {
+        let settings = check(&format!("{HEAD}[control]\ndiskless = true")).expect("the settings are right");
+        let problems = missing_for("a.toml", &settings, Role::Control);
+        assert!(problems.iter().all(|problem| &*problem.key != "data_folder"));
+    }
+}
+
 cases! { mode_is_refused:
     the_owner_may_write => (0o600, true),
     the_owner_may_read => (0o400, true),
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -22,7 +22,7 @@
 use crate::open::{self, OpenError};
 use crate::operators::OperatorKeys;
 use crate::orders::{self, UnderWay};
-use crate::peers::Peers;
+use crate::peers::{Peers, Sender};
 use crate::route::Slot;
 use crate::routing_calls::RoutingCalls;
 use crate::settings::ControlSettings;
@@ -146,7 +146,12 @@
             .await
             .expect("opening the log doesn't panic")?;
         let runtime = Handle::current();
-        let peers = Peers::new(caller.clone(), runtime, opened.node_id, address.clone());
+        let sender = Sender {
+            node_id: opened.node_id,
+            address: address.clone(),
+            diskless: settings.is_diskless(),
+        };
+        let peers = Peers::new(caller.clone(), runtime, sender);
         let (published, _) = watch::channel(0);
         let driver =
             Driver::spawn(&settings, opened, peers, published.clone()).map_err(OpenError::Log)?;
--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -3,6 +3,7 @@
 //! The thread takes in everything that has arrived, and then writes and syncs it in one go, so that proposals share a sync
 //! under load and an idle instance answers at once. Nothing of the disk runs on the threads of the async tasks.
 
+mod diskless;
 mod joining;
 #[cfg(test)]
 mod tests;
@@ -65,6 +66,8 @@
     TooLarge,
     /// Leadership was lost on the way; whether the proposal takes effect is open.
     Unsettled,
+    /// Voters without a disk have not yet given their votes to those with one.
+    BeingFounded,
     /// The log has stopped.
     Stopped,
 }
@@ -78,6 +81,7 @@
             Self::Unsettled => {
                 "leadership changed before the answer; ask again with the same number"
             }
+            Self::BeingFounded => "no quorum of instances with a disk is formed yet; ask again",
             Self::Stopped => "this instance is stopping",
         })
     }
@@ -129,6 +133,8 @@
     pub(crate) routing: Routing,
     /// Addresses of the control instances that the log names.
     pub(crate) control: Vec<Box<str>>,
+    /// Addresses of the instances that sent anything since this process started.
+    pub(crate) met: Vec<Box<str>>,
 }
 
 /// Reaches the thread.
@@ -182,11 +188,13 @@
         let view = Arc::new(ArcSwap::from_pointee(view_of(
             &opened.state,
             &BTreeSet::new(),
+            Vec::new(),
         )));
         let lease_until_us = Arc::new(AtomicU64::new(0));
         let round_at_us = Arc::new(AtomicU64::new(0));
         let commits = Arc::new(AtomicU64::new(0));
         let thread = Thread {
+            own_id: opened.node_id,
             own_name: settings.instance.clone(),
             began,
             tick: settings.heartbeat / TICKS_PER_HEARTBEAT,
@@ -199,6 +207,7 @@
             founding: opened.founding,
             peers,
             heard: BTreeSet::new(),
+            heard_diskless: BTreeSet::new(),
             waiting: BTreeMap::new(),
             questions: BTreeMap::new(),
             next_question: 0,
@@ -307,7 +316,7 @@
     }
 }
 
-fn view_of(state: &State, heard: &BTreeSet<NodeId>) -> View {
+fn view_of(state: &State, heard: &BTreeSet<NodeId>, met: Vec<Box<str>>) -> View {
     View {
         folder: state.changes().folder().clone(),
         drains: state.drains(),
@@ -320,5 +329,6 @@
             .values()
             .map(|name| name.address.clone())
             .collect(),
+        met,
     }
 }
--- /dev/null
+++ b/crates/control/src/driver/diskless.rs
@@ -0,0 +1,123 @@
+//! Keeps instances without a disk out of the quorum.
+//!
+//! A fleet is founded on the first addresses that its processes were told, and some of those instances may have no disk. They
+//! elect the first leader all the same; those with a disk join, take the votes over, and only then is anything acknowledged.
+
+use std::time::Duration;
+
+use hinge_raft::{MembershipChange, NodeId, Role};
+use hinge_state::Command;
+use hinge_telemetry::info;
+use hinge_telemetry::log::Part;
+
+use super::thread::Thread;
+use super::votes::{hands_votes_on, may_acknowledge};
+use crate::open::Log;
+
+/// Time from the start in which instances with a disk are expected to join. A fleet in which none has joined by then has none,
+/// and goes on without.
+const FOUNDING: Duration = Duration::from_secs(5);
+
+/// Silence after which a follower without a disk is forgotten; one that was only cut off joins again.
+const FORGET_AFTER: Duration = Duration::from_secs(10);
+
+/// Counts the voters by what is known of their disks.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct VoterDisks {
+    pub(super) with: usize,
+    pub(super) without: usize,
+}
+
+impl Thread {
+    pub(super) fn is_diskless(&self, node_id: NodeId) -> bool {
+        if node_id == self.own_id {
+            return matches!(self.log, Log::Memory);
+        }
+        let named = self.state.control().get(&node_id);
+        named.map_or_else(
+            || self.heard_diskless.contains(&node_id),
+            |name| name.diskless,
+        )
+    }
+
+    pub(super) fn voter_disks(&self) -> VoterDisks {
+        let voters = &self.node.membership().voters;
+        let is_known = |id: NodeId| {
+            id == self.own_id || self.heard.contains(&id) || self.state.control().contains_key(&id)
+        };
+        let without = voters.iter().filter(|id| self.is_diskless(**id)).count();
+        let with = voters
+            .iter()
+            .filter(|id| is_known(**id) && !self.is_diskless(**id));
+        VoterDisks {
+            with: with.count(),
+            without,
+        }
+    }
+
+    /// Returns whether a commit is as durable as this fleet can make it.
+    pub(super) fn keeps_commits(&self) -> bool {
+        let is_alone = self.founding.len() == 1;
+        is_alone || may_acknowledge(self.voter_disks(), is_being_founded(self.now()))
+    }
+
+    /// Hands the votes of instances without a disk to those with one, as the leader, one at a time.
+    pub(super) fn retire_diskless(&mut self, now: Duration) {
+        if self.node.role() != Role::Leader {
+            return;
+        }
+        self.forget_silent(now);
+        let disks = self.voter_disks();
+        let least_voters = self.least_voters();
+        if !hands_votes_on(disks, least_voters, is_being_founded(now)) {
+            return;
+        }
+        let voters = self.node.membership().voters.clone();
+        let other = voters
+            .iter()
+            .find(|id| **id != self.own_id && self.is_diskless(**id));
+        if let Some(other) = other {
+            // A change that is under way goes first, and this one is tried again at the next tick.
+            if self.change(now, MembershipChange::Remove(*other)).is_ok() {
+                info!(
+                    Part::Control,
+                    "An instance without a disk gives up its vote.",
+                    node = other,
+                    voters_with_disk = disks.with
+                );
+            }
+            return;
+        }
+        let successor = voters.iter().copied().find(|id| {
+            let may_lead = *id != self.own_id && !self.is_diskless(*id);
+            may_lead && self.node.transfer(now, *id).is_ok()
+        });
+        if let Some(successor) = successor {
+            info!(
+                Part::Control,
+                "Handing leadership over to an instance with a disk.",
+                successor = successor
+            );
+        }
+    }
+
+    /// Removes followers without a disk that have ended for good; each start of one is another follower.
+    fn forget_silent(&mut self, now: Duration) {
+        let learners = &self.node.membership().learners;
+        let silent = learners.iter().copied().find(|id| {
+            *id != self.own_id && self.is_diskless(*id) && self.node.is_silent(*id, FORGET_AFTER)
+        });
+        let Some(silent) = silent else {
+            return;
+        };
+        if self.change(now, MembershipChange::Remove(silent)).is_ok() {
+            let command = Command::ForgetControl { node_id: silent };
+            let _stays_named_if_lost = self.node.propose(now, command.encode());
+        }
+    }
+}
+
+/// Returns whether instances with a disk may still be on their way to a fleet that has none yet.
+pub(super) fn is_being_founded(since_start: Duration) -> bool {
+    since_start < FOUNDING
+}
--- a/crates/control/src/driver/joining.rs
+++ b/crates/control/src/driver/joining.rs
@@ -10,8 +10,9 @@
 use hinge_telemetry::log::Part;
 
 use super::Refused;
+use super::diskless::is_being_founded;
 use super::thread::Thread;
-use super::votes::{Members, Vote, vote_for_learner};
+use super::votes::{Members, Vote, may_vote, vote_for_learner};
 
 /// Silence after which a voter is replaced by an instance that stands ready. A restart takes about a second, and a new
 /// instance counts as repaired four seconds after it starts.
@@ -63,15 +64,24 @@
     /// only cut off loses its place as well, and joins again as any other; until then the one that is there counts.
     fn give_vote(&mut self, now: Duration, join: &JoinControl) -> Result<(), String> {
         let membership = self.node.membership();
+        let disks = self.voter_disks();
+        let is_being_founded = is_being_founded(now);
+        let may_vote = |id: NodeId| may_vote(self.is_diskless(id), disks, is_being_founded);
+        if !may_vote(join.node_id) {
+            self.forget_lost(now, join);
+            return Err("an instance without a disk follows only".to_owned());
+        }
         let others = membership.learners.iter().filter(|id| **id != join.node_id);
+        let others = others.filter(|id| may_vote(**id));
         let ready = others.filter(|id| self.node.check_promotion(**id).is_ok());
+        let gives_way = !self.is_diskless(join.node_id);
         let members = Members {
             voters: membership.voters.len(),
+            diskless_voters: if gives_way { disks.without } else { 0 },
             other_ready_learners: ready.count(),
             silent_voter: self.node.silent_voter(REPLACE_AFTER),
         };
-        let least_voters = 2 * self.tolerated_losses as usize + 1;
-        match vote_for_learner(members, least_voters) {
+        match vote_for_learner(members, self.least_voters()) {
             Vote::Give => self.change(now, MembershipChange::Promote(join.node_id)),
             Vote::TakeFrom(gone) => {
                 info!(
@@ -87,7 +97,12 @@
         }
     }
 
-    fn change(&mut self, now: Duration, change: MembershipChange) -> Result<(), String> {
+    /// Returns how many voters bear the losses that this fleet is to bear.
+    pub(super) fn least_voters(&self) -> usize {
+        2 * self.tolerated_losses as usize + 1
+    }
+
+    pub(super) fn change(&mut self, now: Duration, change: MembershipChange) -> Result<(), String> {
         let changed = self.node.propose_membership(now, change);
         changed.map(|_place| ()).map_err(|cause| cause.to_string())
     }
@@ -100,7 +115,7 @@
         if self.node.role() != Role::Leader {
             return;
         }
-        let own_id = self.standing.borrow().node_id;
+        let own_id = self.own_id;
         let unnamed = self.founding.iter().filter(|(id, _)| {
             let took_part = **id == own_id || self.heard.contains(id);
             took_part && !self.state.control().contains_key(id)
@@ -112,6 +127,7 @@
                 node_id: *id,
                 instance: name.instance.clone(),
                 address: name.address.clone(),
+                diskless: self.is_diskless(*id),
             })
             .collect();
         for command in commands {
@@ -122,16 +138,21 @@
     /// Writes the joiner's name and address to the log, unless they stand there.
     fn name_joiner(&mut self, now: Duration, join: &JoinControl) {
         let known = self.state.control().get(&join.node_id);
-        let is_known = known
-            .is_some_and(|name| name.instance == join.instance && name.address == join.address);
+        let name = ControlName {
+            instance: join.instance.clone(),
+            address: join.address.clone(),
+            diskless: join.diskless.unwrap_or_default(),
+        };
+        let is_known = known == Some(&name);
         self.peers.learn(join.node_id, &join.address);
         if is_known {
             return;
         }
         let command = Command::NameControl {
             node_id: join.node_id,
-            instance: join.instance.clone(),
-            address: join.address.clone(),
+            instance: name.instance,
+            address: name.address,
+            diskless: name.diskless,
         };
         let _asked_again_later = self.node.propose(now, command.encode());
     }
--- a/crates/control/src/driver/tests/stalled.rs
+++ b/crates/control/src/driver/tests/stalled.rs
@@ -17,7 +17,7 @@
 use crate::caller::{Caller, Direct};
 use crate::core::{Core, Place};
 use crate::open;
-use crate::peers::{Batch, Peers};
+use crate::peers::{Batch, Peers, Sender};
 use crate::settings::{ControlSettings, Peer};
 
 /// Looks at an instance, with a pause of 5 ms between two; an election timeout is 60 of them.
@@ -39,12 +39,12 @@
         .into();
     let caller = Caller::new(ClusterKey::derive(b"a key"), Arc::new(Direct));
     let opened = open::open(&settings, false).expect("the settings are right");
-    let peers = Peers::new(
-        caller.clone(),
-        Handle::current(),
-        opened.node_id,
-        "control-a".into(),
-    );
+    let sender = Sender {
+        node_id: opened.node_id,
+        address: "control-a".into(),
+        diskless: settings.is_diskless(),
+    };
+    let peers = Peers::new(caller.clone(), Handle::current(), sender);
     let (published, _) = watch::channel(0);
     let driver = Driver::spawn(&settings, opened, peers, published.clone());
     let driver = driver.expect("the log is sound");
@@ -79,6 +79,7 @@
     let batch = Batch {
         from,
         address: LEADER.into(),
+        diskless: false,
         messages: vec![heartbeat],
     };
     assert!(core.driver.take(batch), "the log takes messages");
--- a/crates/control/src/driver/thread.rs
+++ b/crates/control/src/driver/thread.rs
@@ -20,6 +20,7 @@
 use crate::peers::{Batch, Peers};
 
 pub(super) struct Thread {
+    pub(super) own_id: NodeId,
     pub(super) own_name: Box<str>,
     pub(super) began: Instant,
     pub(super) tick: Duration,
@@ -31,6 +32,8 @@
     pub(super) peers: Peers,
     /// Incarnations that sent anything since this process started.
     pub(super) heard: BTreeSet<NodeId>,
+    /// Those of them that have said that they keep the log in memory only.
+    pub(super) heard_diskless: BTreeSet<NodeId>,
     pub(super) waiting: BTreeMap<(Term, Index), ReplySender>,
     pub(super) questions: BTreeMap<ReadId, Question>,
     pub(super) next_question: ReadId,
@@ -96,6 +99,7 @@
                 self.next_tick = now + self.tick;
                 self.node.tick(now);
                 self.name_founders(now);
+                self.retire_diskless(now);
             }
             self.settle()?;
             if self.may_stop() {
@@ -136,12 +140,19 @@
         if self.heard.insert(batch.from) {
             self.is_view_old = true;
         }
+        if batch.diskless {
+            self.heard_diskless.insert(batch.from);
+        }
         for message in batch.messages {
             self.node.step(now, message);
         }
     }
 
     fn propose(&mut self, now: Duration, command: &Command, reply: ReplySender) {
+        if self.node.role() == Role::Leader && !self.keeps_commits() {
+            let _asker_is_gone = reply.send(Err(Refused::BeingFounded));
+            return;
+        }
         match self.node.propose(now, command.encode()) {
             Ok(place) => _ = self.waiting.insert(place, reply),
             Err(cause) => {
@@ -242,7 +253,13 @@
         self.commits.fetch_add(1, Ordering::Relaxed);
         let reply = self.state.apply(entry.index, entry.term, command);
         if let Some(waiting) = self.waiting.remove(&(entry.term, entry.index)) {
-            let _asker_is_gone = waiting.send(Ok(reply));
+            // A founder that was first heard on the way may have confirmed it without a disk.
+            let reply = if self.keeps_commits() {
+                Ok(reply)
+            } else {
+                Err(Refused::Unsettled)
+            };
+            let _asker_is_gone = waiting.send(reply);
         }
         Ok(())
     }
@@ -295,7 +312,10 @@
         self.lease_until_us.store(lease_until_us, Ordering::Release);
         let mut has_news = false;
         if std::mem::take(&mut self.is_view_old) {
-            self.view.store(Arc::new(view_of(&self.state, &self.heard)));
+            let met = self.heard.iter().filter_map(|id| self.peers.address(*id));
+            let met = met.map(Box::from).collect();
+            let view = view_of(&self.state, &self.heard, met);
+            self.view.store(Arc::new(view));
             has_news = true;
         }
         let standing = self.current_standing();
@@ -353,12 +373,14 @@
             return Some(ControlName {
                 instance: self.own_name.clone(),
                 address: named.map(|name| name.address.clone()).unwrap_or_default(),
+                diskless: self.is_diskless(node_id),
             });
         }
         let address = self.peers.address(node_id)?;
         Some(ControlName {
             instance: named.map(|name| name.instance.clone()).unwrap_or_default(),
             address: address.into(),
+            diskless: self.is_diskless(node_id),
         })
     }
 
--- a/crates/control/src/driver/votes.rs
+++ b/crates/control/src/driver/votes.rs
@@ -9,6 +9,8 @@
 
 use hinge_raft::NodeId;
 
+use super::diskless::VoterDisks;
+
 /// Most instances that vote. Nine bear the loss of four, twice what a fleet of today is asked to bear, and a commit waits for
 /// more than half of the voters, so each further one makes it dearer.
 pub(super) const MOST_VOTERS: usize = 9;
@@ -18,7 +20,9 @@
 pub(super) struct Members {
     /// Instances that vote.
     pub(super) voters: usize,
-    /// Further learners that are ready, beside the one that asks.
+    /// Voters among them that have no disk, and whose places are to be taken.
+    pub(super) diskless_voters: usize,
+    /// Further learners that are ready and may vote, beside the one that asks.
     pub(super) other_ready_learners: usize,
     /// A voter that has been silent for too long.
     pub(super) silent_voter: Option<NodeId>,
@@ -42,10 +46,11 @@
 pub(super) fn vote_for_learner(members: Members, least_voters: usize) -> Vote {
     let Members {
         voters,
+        diskless_voters,
         other_ready_learners,
         silent_voter,
     } = members;
-    if voters < least_voters {
+    if voters < least_voters || diskless_voters > 0 {
         return Vote::Give;
     }
     if let Some(gone) = silent_voter {
@@ -59,3 +64,28 @@
         Vote::Wait
     }
 }
+
+/// Returns whether a learner may vote, by its disk and those of the voters.
+///
+/// What an instance without a disk confirms is gone when its process ends, so its vote counts only where nobody has a disk.
+pub(super) fn may_vote(is_diskless: bool, disks: VoterDisks, is_being_founded: bool) -> bool {
+    !is_diskless || (disks.with == 0 && !is_being_founded)
+}
+
+/// Returns whether voters without a disk leave the quorum now.
+///
+/// While a fleet is founded they stay until enough others vote, since a quorum of a single disk would lose with it what was
+/// acknowledged before the second one joined.
+pub(super) fn hands_votes_on(
+    disks: VoterDisks,
+    least_voters: usize,
+    is_being_founded: bool,
+) -> bool {
+    let are_enough = disks.with >= least_voters || !is_being_founded;
+    disks.without > 0 && disks.with > 0 && are_enough
+}
+
+/// Returns whether a commit may be acknowledged: every voter keeps it on a disk, or no instance of the fleet has one.
+pub(super) fn may_acknowledge(disks: VoterDisks, is_being_founded: bool) -> bool {
+    disks.without == 0 || (disks.with == 0 && !is_being_founded)
+}
--- a/crates/control/src/driver/votes/tests.rs
+++ b/crates/control/src/driver/votes/tests.rs
@@ -2,7 +2,10 @@
 
 use hinge_cases::cases;
 
-use super::{MOST_VOTERS, Members, Vote, vote_for_learner};
+use super::{
+    MOST_VOTERS, Members, Vote, VoterDisks, hands_votes_on, may_acknowledge, may_vote,
+    vote_for_learner,
+};
 
 /// Returns the voters among some instances once all have asked as often as they like, and nobody is silent.
 fn voters_of(instances: usize, founders: usize, least_voters: usize) -> usize {
@@ -10,6 +13,7 @@
     while voters < instances {
         let members = Members {
             voters,
+            diskless_voters: 0,
             other_ready_learners: instances - voters - 1,
             silent_voter: None,
         };
@@ -32,11 +36,16 @@
 fn members(voters: usize, other_ready_learners: usize) -> Members {
     Members {
         voters,
+        diskless_voters: 0,
         other_ready_learners,
         silent_voter: None,
     }
 }
 
+fn disks(with: usize, without: usize) -> VoterDisks {
+    VoterDisks { with, without }
+}
+
 cases! {
     the_larger_side_of_every_cut_goes_on => {
         for instances in 1..=MOST_VOTERS {
@@ -61,4 +70,26 @@
         assert_eq!(vote_for_learner(members(5, 0), 5), Vote::Wait);
         assert_eq!(vote_for_learner(members(6, 0), 5), Vote::Give);
     }
+    an_instance_with_a_disk_votes_where_one_without_does => {
+        let members = Members { diskless_voters: 1, ..members(5, 0) };
+        assert_eq!(vote_for_learner(members, 5), Vote::Give);
+    }
+    an_instance_without_a_disk_votes_only_where_nobody_has_one => {
+        assert!(!may_vote(true, disks(0, 3), true), "instances with a disk are on their way");
+        assert!(!may_vote(true, disks(1, 3), false));
+        assert!(may_vote(true, disks(0, 3), false));
+        assert!(may_vote(false, disks(3, 0), true));
+    }
+    votes_are_handed_on_once_enough_others_vote_or_no_more_are_expected => {
+        assert!(!hands_votes_on(disks(2, 3), 3, true));
+        assert!(hands_votes_on(disks(3, 3), 3, true));
+        assert!(hands_votes_on(disks(1, 3), 3, false));
+        assert!(!hands_votes_on(disks(0, 3), 3, false), "nobody takes them over");
+    }
+    nothing_is_acknowledged_on_a_vote_without_a_disk_beside_one_with => {
+        assert!(may_acknowledge(disks(3, 0), true));
+        assert!(!may_acknowledge(disks(2, 1), false));
+        assert!(!may_acknowledge(disks(0, 3), true));
+        assert!(may_acknowledge(disks(0, 3), false), "no instance of the fleet has a disk");
+    }
 }
--- a/crates/control/src/join.rs
+++ b/crates/control/src/join.rs
@@ -51,6 +51,7 @@
         instance: core.settings.instance.clone(),
         node_id: core.driver.standing.borrow().node_id,
         address: core.address.clone(),
+        diskless: core.settings.is_diskless().then_some(true),
     };
     let mut counts = false;
     loop {
@@ -65,7 +66,9 @@
             };
             info!(Part::Control, state, node = join.node_id);
         }
-        sleep(if counts { LOOK_AGAIN } else { ASK_AGAIN }).await;
+        let follows = core.settings.is_diskless() && core.place() != Place::Nowhere;
+        let has_its_place = counts || follows;
+        sleep(if has_its_place { LOOK_AGAIN } else { ASK_AGAIN }).await;
     }
 }
 
@@ -79,9 +82,12 @@
     };
     let peers = core.settings.peers.iter();
     let others = peers.filter(|peer| peer.instance != core.settings.instance);
+    // An instance that lost what it knew still gets messages for its former incarnation from those that remember it.
+    let met = core.driver.view.load().met.clone();
     let addresses = known
         .into_iter()
-        .chain(others.map(|peer| peer.address.clone()));
+        .chain(others.map(|peer| peer.address.clone()))
+        .chain(met);
     for address in addresses {
         let asked = core.caller.call(&address, JOIN_PATH, join, WAIT).await;
         if let Ok(joined) = asked {
--- a/crates/control/src/open.rs
+++ b/crates/control/src/open.rs
@@ -122,7 +122,7 @@
 /// Opens the log and the state of an instance; one that took part before and has an empty folder joins anew.
 pub(crate) fn open(settings: &ControlSettings, took_part: bool) -> Result<Opened, OpenError> {
     let Some(folder) = &settings.data_folder else {
-        return open_in_memory(settings);
+        return open_in_memory(settings, took_part);
     };
     fs::create_dir_all(folder).map_err(OpenError::Folder)?;
     let identity = Identity {
@@ -191,7 +191,17 @@
     })
 }
 
-fn open_in_memory(settings: &ControlSettings) -> Result<Opened, OpenError> {
+/// Opens an instance without a disk; each start is a new incarnation, but for that of a founder.
+fn open_in_memory(settings: &ControlSettings, took_part: bool) -> Result<Opened, OpenError> {
+    if !settings.bootstrap || took_part {
+        return Ok(Opened {
+            log: Log::Memory,
+            node_id: rand::random::<u64>().max(1),
+            durable: Durable::default(),
+            state: State::default(),
+            founding: BTreeMap::new(),
+        });
+    }
     let founding = named(&settings.cluster_id, peers_of(settings)?);
     let node_id = founder_id(&settings.cluster_id, &settings.instance);
     let durable = Durable {
@@ -237,7 +247,13 @@
 ) -> BTreeMap<NodeId, ControlName> {
     let named = peers.map(|(instance, address)| {
         let node_id = founder_id(cluster_id, &instance);
-        (node_id, ControlName { instance, address })
+        let name = ControlName {
+            instance,
+            address,
+            // A founder tells by its messages what it keeps.
+            diskless: false,
+        };
+        (node_id, name)
     });
     named.collect()
 }
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -29,10 +29,24 @@
     pub(crate) from: NodeId,
     /// Sender's address.
     pub(crate) address: Box<str>,
+    /// Whether the sender keeps the log in memory only.
+    #[serde(default)]
+    pub(crate) diskless: bool,
     /// Messages, in order.
     pub(crate) messages: Vec<Message>,
 }
 
+/// Describes this instance to those that get its messages.
+#[derive(Debug, Clone)]
+pub(crate) struct Sender {
+    /// Incarnation in the log.
+    pub(crate) node_id: NodeId,
+    /// Address for other control instances.
+    pub(crate) address: Box<str>,
+    /// Whether it keeps the log in memory only.
+    pub(crate) diskless: bool,
+}
+
 /// Says that a batch was taken in.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct Taken {}
@@ -48,30 +62,23 @@
 pub(crate) struct Peers {
     caller: Caller,
     runtime: Handle,
-    own_id: NodeId,
-    own_address: Box<str>,
+    sender: Sender,
     links: BTreeMap<NodeId, PeerLink>,
 }
 
 impl Peers {
-    pub(crate) fn new(
-        caller: Caller,
-        runtime: Handle,
-        own_id: NodeId,
-        own_address: Box<str>,
-    ) -> Self {
+    pub(crate) fn new(caller: Caller, runtime: Handle, sender: Sender) -> Self {
         Self {
             caller,
             runtime,
-            own_id,
-            own_address,
+            sender,
             links: BTreeMap::new(),
         }
     }
 
     /// Notes where an instance listens.
     pub(crate) fn learn(&mut self, node_id: NodeId, address: &str) {
-        if node_id == self.own_id {
+        if node_id == self.sender.node_id {
             return;
         }
         let known = self.links.get(&node_id);
@@ -87,8 +94,7 @@
         let task = send_all(
             self.caller.clone(),
             address.into(),
-            self.own_id,
-            self.own_address.clone(),
+            self.sender.clone(),
             receiver,
         );
         self.runtime.spawn(task);
@@ -110,15 +116,15 @@
 async fn send_all(
     caller: Caller,
     address: Box<str>,
-    from: NodeId,
-    own_address: Box<str>,
+    sender: Sender,
     mut receiver: mpsc::Receiver<Message>,
 ) {
     let mut messages = Vec::new();
     while receiver.recv_many(&mut messages, BATCH_MESSAGES).await > 0 {
         let batch = Batch {
-            from,
-            address: own_address.clone(),
+            from: sender.node_id,
+            address: sender.address.clone(),
+            diskless: sender.diskless,
             messages: std::mem::take(&mut messages),
         };
         let sent = caller
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -25,7 +25,8 @@
     pub listen: Box<str>,
     /// Address that the other control instances use; the bound address when left out.
     pub advertise: Option<Box<str>>,
-    /// Folder of the log; without one the log is in memory, which is for the `local` role alone.
+    /// Folder of the log. Without one the log is in memory, and the instance follows those that have a disk and never votes;
+    /// it leads only a fleet of which it is the single founder, as in the `local` role.
     pub data_folder: Option<PathBuf>,
     /// Control instances of the first start, this one included.
     pub peers: Vec<Peer>,
@@ -68,6 +69,12 @@
             member_rules: MemberRules::default(),
         }
     }
+
+    /// Returns whether the log is kept in memory only.
+    #[must_use]
+    pub fn is_diskless(&self) -> bool {
+        self.data_folder.is_none()
+    }
 }
 
 /// Sets up a relay.
--- /dev/null
+++ b/crates/control/tests/roles/diskless.rs
@@ -0,0 +1,127 @@
+//! Checks control where some of its instances have no disk.
+//!
+//! The platform starts control on a part of its instances, and of 16 only five had a disk. The others refused their settings
+//! and were started again 1,500 times a day. Now each of them follows those that have a disk, without a vote.
+
+use std::collections::BTreeSet;
+
+use hinge_cases::async_cases;
+use hinge_control::WATCH_ROUTES_PATH;
+use hinge_schema::routing::{RoutesUpdate, TableHeld, WatchRoutes};
+
+use crate::fleet::{Fleet, pause, table};
+
+/// Puts a table at one instance until it is taken.
+async fn put(fleet: &Fleet, name: &str, number: u64) {
+    let message = table(number);
+    loop {
+        let put = fleet.call::<_, TableHeld>(name, "/v1/routes/put", &message);
+        if put.await.is_ok_and(|held| held.number >= number) {
+            return;
+        }
+        pause().await;
+    }
+}
+
+/// Waits until an instance tells a gateway of a table.
+async fn is_told(fleet: &Fleet, name: &str, number: u64) {
+    let watch = WatchRoutes {
+        instance: "gateway-1".into(),
+        peer_address: None,
+        table_number: number - 1,
+        endpoints_version: u64::MAX,
+        wait_ms: 100,
+    };
+    loop {
+        let watched = fleet.call::<_, RoutesUpdate>(name, WATCH_ROUTES_PATH, &watch);
+        let table = watched.await.ok().and_then(|update| update.table);
+        if table.is_some_and(|table| table.number >= number) {
+            return;
+        }
+        pause().await;
+    }
+}
+
+/// Waits until exactly these instances vote.
+async fn voters_are(fleet: &Fleet, names: &[&str]) {
+    let wanted: BTreeSet<&str> = names.iter().copied().collect();
+    loop {
+        let control = fleet.status().await.control;
+        let voters = control.iter().filter(|instance| instance.voter);
+        let voters: BTreeSet<&str> = voters.map(|instance| &*instance.instance).collect();
+        if voters == wanted {
+            return;
+        }
+        pause().await;
+    }
+}
+
+async_cases! { real
+    an_instance_without_a_disk_follows_and_forwards => {
+        let mut fleet = Fleet::start_tolerating(3, 1).await;
+        fleet.open_diskless("control-3", false).await;
+        fleet.open_diskless("control-4", false).await;
+        put(&fleet, "control-3", 1).await;
+        is_told(&fleet, "control-4", 1).await;
+        voters_are(&fleet, &["control-0", "control-1", "control-2"]).await;
+    }
+    founders_without_a_disk_hand_their_votes_on => {
+        let mut fleet = Fleet::unstarted(3, 1);
+        for name in ["control-0", "control-1", "control-2"] {
+            fleet.open_diskless(name, true).await;
+        }
+        for name in ["control-3", "control-4", "control-5"] {
+            fleet.open(name, false).await;
+        }
+        put(&fleet, "control-0", 1).await;
+        voters_are(&fleet, &["control-3", "control-4", "control-5"]).await;
+        is_told(&fleet, "control-2", 1).await;
+    }
+    what_was_acknowledged_outlives_all_instances_without_a_disk => {
+        let mut fleet = Fleet::unstarted(3, 1);
+        fleet.open("control-0", true).await;
+        fleet.open_diskless("control-1", true).await;
+        fleet.open_diskless("control-2", true).await;
+        fleet.open("control-3", false).await;
+        fleet.open("control-4", false).await;
+        put(&fleet, "control-1", 1).await;
+        fleet.stop("control-1").await;
+        fleet.stop("control-2").await;
+        is_told(&fleet, "control-3", 1).await;
+        put(&fleet, "control-4", 2).await;
+    }
+    instances_that_know_only_each_other_are_found_after_all_were_lost => {
+        let mut fleet = Fleet::unstarted(2, 1);
+        fleet.open_diskless("control-0", true).await;
+        fleet.open_diskless("control-1", true).await;
+        for name in ["control-2", "control-3", "control-4"] {
+            fleet.open(name, false).await;
+        }
+        put(&fleet, "control-0", 1).await;
+        voters_are(&fleet, &["control-2", "control-3", "control-4"]).await;
+        let names: Vec<Box<str>> = fleet.running.keys().cloned().collect();
+        for name in &names {
+            fleet.stop(name).await;
+        }
+        // The addresses that processes are told are those of the first two, which have forgotten everything.
+        fleet.open_diskless("control-0", false).await;
+        fleet.open_diskless("control-1", false).await;
+        for name in ["control-2", "control-3", "control-4"] {
+            fleet.open(name, false).await;
+        }
+        is_told(&fleet, "control-0", 1).await;
+        put(&fleet, "control-1", 2).await;
+        voters_are(&fleet, &["control-2", "control-3", "control-4"]).await;
+    }
+    a_fleet_without_any_disk_goes_on_without => {
+        let mut fleet = Fleet::unstarted(3, 1);
+        for name in ["control-0", "control-1", "control-2"] {
+            fleet.open_diskless(name, true).await;
+        }
+        put(&fleet, "control-0", 1).await;
+        fleet.stop("control-0").await;
+        put(&fleet, "control-1", 2).await;
+        fleet.open_diskless("control-0", false).await;
+        is_told(&fleet, "control-0", 2).await;
+    }
+}
--- a/crates/control/tests/roles/fleet.rs
+++ b/crates/control/tests/roles/fleet.rs
@@ -10,9 +10,11 @@
 use hinge_schema::messages::{
     Announce, Apply, ApplyReply, AskStatus, ConfigFile, Role, Status, StatusReply,
 };
+use hinge_schema::routing::{CallerLimits, PutTable, RouteTable};
 use hinge_telemetry::metrics::Registry;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde_bytes::ByteBuf;
 
 pub const SECRET: &str = "a secret of sixteen bytes or more";
 pub const WAIT: Duration = Duration::from_secs(30);
@@ -106,18 +108,23 @@
 
     /// Starts founders that are told how many losses they are to bear.
     pub async fn start_tolerating(count: usize, tolerated_losses: u32) -> Self {
-        let names: Vec<Box<str>> = (0..count).map(|n| format!("control-{n}").into()).collect();
-        let mut fleet = Self {
+        let mut fleet = Self::unstarted(count, tolerated_losses);
+        for name in fleet.names.clone() {
+            fleet.open(&name, true).await;
+        }
+        fleet
+    }
+
+    /// Names the founders, and starts none of them.
+    pub fn unstarted(founders: usize, tolerated_losses: u32) -> Self {
+        let names = (0..founders).map(|n| format!("control-{n}").into());
+        Self {
             net: Arc::default(),
             folder: tempfile::tempdir().expect("the system gives a folder"),
             running: BTreeMap::new(),
             tolerated_losses,
-            names: names.clone(),
-        };
-        for name in &names {
-            fleet.open(name, true).await;
+            names: names.collect(),
         }
-        fleet
     }
 
     pub fn path(&self, name: &str) -> std::path::PathBuf {
@@ -126,6 +133,17 @@
 
     pub async fn open(&mut self, name: &str, bootstrap: bool) {
         let settings = self.settings(name, &self.path(name), bootstrap);
+        self.open_as(name, settings).await;
+    }
+
+    /// Opens an instance that keeps its log in memory.
+    pub async fn open_diskless(&mut self, name: &str, bootstrap: bool) {
+        let mut settings = self.settings(name, &self.path(name), bootstrap);
+        settings.data_folder = None;
+        self.open_as(name, settings).await;
+    }
+
+    async fn open_as(&mut self, name: &str, settings: ControlSettings) {
         let operators =
             OperatorKeys::parse(&format!("ana = \"{SECRET}\"")).expect("the line is right");
         let opened = Control::open_with(
@@ -241,6 +259,26 @@
     }
 }
 
+/// Returns a table without routes.
+pub fn table(number: u64) -> PutTable {
+    let limits = CallerLimits {
+        max_header_bytes: 1,
+        max_body_bytes: 1,
+        header_timeout_ms: 1,
+        idle_timeout_ms: 1,
+    };
+    let table = RouteTable {
+        number,
+        routes: Vec::new(),
+        services: Vec::new(),
+        limits,
+        tokens_per_s: 0,
+        teams: Vec::new(),
+        document: ByteBuf::new(),
+    };
+    PutTable { table }
+}
+
 /// Lets the other tasks go on before a condition is looked at again.
 pub async fn pause() {
     tokio::time::sleep(Duration::from_millis(5)).await;
--- a/crates/control/tests/roles/halves.rs
+++ b/crates/control/tests/roles/halves.rs
@@ -18,12 +18,9 @@
 
 use hinge_cases::async_cases;
 use hinge_control::WATCH_ROUTES_PATH;
-use hinge_schema::routing::{
-    CallerLimits, PutTable, RouteTable, RoutesUpdate, TableHeld, WatchRoutes,
-};
-use serde_bytes::ByteBuf;
+use hinge_schema::routing::{RoutesUpdate, TableHeld, WatchRoutes};
 
-use crate::fleet::{Fleet, pause};
+use crate::fleet::{Fleet, pause, table};
 
 /// Tries after which a side has no leader: an election takes some 200 of them, each with a pause of 5 ms.
 const TRIES: usize = 3_000;
@@ -31,25 +28,6 @@
 /// Looks in a row in which nobody joins or is promoted, after which the members stay as they are.
 const SETTLED_LOOKS: usize = 300;
 
-fn table(number: u64) -> PutTable {
-    let limits = CallerLimits {
-        max_header_bytes: 1,
-        max_body_bytes: 1,
-        header_timeout_ms: 1,
-        idle_timeout_ms: 1,
-    };
-    let table = RouteTable {
-        number,
-        routes: Vec::new(),
-        services: Vec::new(),
-        limits,
-        tokens_per_s: 0,
-        teams: Vec::new(),
-        document: ByteBuf::new(),
-    };
-    PutTable { table }
-}
-
 /// Starts seven instances, of which two may be lost at once, and waits until no further one is promoted.
 async fn seven() -> Fleet {
     let mut fleet = Fleet::start_tolerating(3, 2).await;
--- a/crates/control/tests/roles/main.rs
+++ b/crates/control/tests/roles/main.rs
@@ -1,6 +1,7 @@
 //! Checks control instances and relays in one process, over sockets and folders.
 
 mod control;
+mod diskless;
 mod fleet;
 mod halves;
 mod relay;
--- a/crates/daemon/src/roles/control.rs
+++ b/crates/daemon/src/roles/control.rs
@@ -5,6 +5,7 @@
 
 use anyhow::{Context as _, Result, bail};
 use hinge_control::{Control, ControlSettings, OperatorKeys, Peer};
+use hinge_telemetry::info;
 use hinge_telemetry::log::Part;
 use hinge_telemetry::readiness::Reason;
 
@@ -16,9 +17,16 @@
 
 /// Runs a control instance until it is told to stop.
 pub(super) async fn run(context: Context) -> Result<ExitCode> {
-    if context.settings.data_folder.is_none() {
+    let is_diskless = context.settings.control.diskless;
+    if context.settings.data_folder.is_none() && !is_diskless {
         bail!(
-            "the setting `data_folder` is missing: a control instance keeps the replicated log on its disk"
+            "the setting `data_folder` is missing: a control instance keeps the replicated log on its disk, unless it is `control.diskless`"
+        );
+    }
+    if is_diskless {
+        info!(
+            Part::Control,
+            "This instance has no disk: it follows those that have one, and has no vote beside them."
         );
     }
     let operators = match &context.settings.control.operator_keys_file {
@@ -51,7 +59,7 @@
     .await
     .context("opening the control instance")?;
     context.readiness.clear(Reason::Starting);
-    hinge_telemetry::info!(
+    info!(
         Part::Control,
         "Listening.",
         address = control.local_address()
--- a/crates/raft/src/membership.rs
+++ b/crates/raft/src/membership.rs
@@ -181,15 +181,19 @@
     /// Returns a voter that has not answered this leader for some time, if there is one.
     #[must_use]
     pub fn silent_voter(&self, longest: std::time::Duration) -> Option<NodeId> {
+        let mut voters = self.log.membership().voters.iter().copied();
+        voters.find(|id| self.is_silent(*id, longest))
+    }
+
+    /// Returns whether another instance has not answered this leader for some time.
+    #[must_use]
+    pub fn is_silent(&self, id: NodeId, longest: std::time::Duration) -> bool {
         let State::Leader(leading) = &self.state else {
-            return None;
+            return false;
         };
-        let mut voters = self.log.membership().voters.iter().copied();
-        voters.find(|id| {
-            let heard_at = leading.peers.get(id).and_then(|peer| peer.heard_at);
-            let heard_at = heard_at.unwrap_or_default().max(leading.began_at);
-            *id != self.config.id && self.now >= heard_at + longest
-        })
+        let heard_at = leading.peers.get(&id).and_then(|peer| peer.heard_at);
+        let heard_at = heard_at.unwrap_or_default().max(leading.began_at);
+        id != self.config.id && self.now >= heard_at + longest
     }
 
     fn check_remaining(&self, next: &Membership) -> Result<(), MembershipError> {
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -64,6 +64,9 @@
         instance: InstanceName,
         /// Address for other control instances.
         address: Box<str>,
+        /// Whether it keeps the log in memory only; missing in entries of programs that knew no such instances.
+        #[serde(default)]
+        diskless: bool,
     },
     /// Forgets a control instance that left the log.
     ForgetControl {
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -32,6 +32,9 @@
     pub instance: InstanceName,
     /// Address for other control instances.
     pub address: Box<str>,
+    /// Whether it keeps the log in memory only, and so nothing when it ends.
+    #[serde(default)]
+    pub diskless: bool,
 }
 
 /// Holds everything that the log's entries have built up.
@@ -135,8 +138,13 @@
                 node_id,
                 instance,
                 address,
+                diskless,
             } => {
-                let name = ControlName { instance, address };
+                let name = ControlName {
+                    instance,
+                    address,
+                    diskless,
+                };
                 self.control.insert(node_id, name);
                 Reply::Done
             }
