Keep the gateways that were named before when an answer names none

Change: an answer without names leaves the earlier ones. The test fails without it ([] in place of [a, b]).

--- a/crates/gateway/src/neighbours.rs
+++ b/crates/gateway/src/neighbours.rs
@@ -19,6 +19,9 @@
 
 use crate::fleet::Held;
 
+#[cfg(test)]
+mod tests;
+
 /// Path on which a gateway tells what it has.
 const NEWER_PATH: &str = "/v1/gateways/newer";
 
@@ -49,8 +52,13 @@
     }
 
     /// Takes in the addresses that control named last.
+    ///
+    /// An instance that has just started, or that nobody else follows, names none. Those that were named before may be reached
+    /// all the same, and a gateway without them would learn of nothing once it loses that instance as well.
     pub(crate) fn named(&mut self, addresses: Vec<Box<str>>) {
-        self.addresses = addresses;
+        if !addresses.is_empty() {
+            self.addresses = addresses;
+        }
     }
 
     /// Asks the other gateways for what is newer, if control has been silent for long enough, and takes it in.
