Let a team's lead cost it turns only for as long as an engine remembers its last few requests

Cause: of the teams above their shares the one with the least use went first, and use fades with a half-life of two seconds. A team that was ahead got nothing until the others had caught up: 2 s x log2(n) with n hot teams, four seconds of six with four of them. In the model of twelve engines that tell each other late, of four hot teams the one that was ahead got 282,900 tokens in six seconds and another one 694,400 (0.41), of six 110,700 and 483,000 (0.23). Ruled out by the model: overdue teams ordered by use (0.59 and 0.29), or by steps of 2,000 tokens of what they had (0.66 and 0.42); a part of 0.9 instead of 0.75, before the order by what they had (0.46 and 0.21). Change: a team above its share that had less than three quarters of what another one had at this engine of late (half-life 0.5 s) goes before those above theirs that did not, the one with the least first, and its turn counts as within its share.

--- a/crates/admission/src/order.rs
+++ b/crates/admission/src/order.rs
@@ -1,7 +1,7 @@
 //! Puts the asks that wait before an engine into the order of their turns.
 //!
-//! Streams that go on come first, then teams within their share by rank, then those above it; among these the team with the
-//! least use lately at all engines, then the ask whose budget ends first.
+//! Streams that go on come first, then teams within their share by rank, then those above it, of which one that has had far less
+//! of late goes first; among these the team with the least use lately at all engines, then the ask whose budget ends first.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -17,29 +17,41 @@
     pub(crate) since: Duration,
 }
 
-/// Returns the places of the waiting asks in the order of their turns, by the use of their teams and the use of a share.
+/// Tells what the order needs to know of a team.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Claim {
+    /// What it has used lately at all engines, in tokens.
+    pub(crate) used: f64,
+    /// What it has had here of late, where that is far less than another team; the one with the least is the most overdue.
+    pub(crate) overdue_at: Option<f64>,
+}
+
+/// Returns the places of the waiting asks in the order of their turns, by the claims of their teams and the use of a share.
 ///
 /// Each turn adds to its team's use, so that a team with many asks does not take all the turns at once.
 pub(crate) fn order_of(
     waiting: &[Waiting],
     share: f64,
-    used_by: impl Fn(&str) -> f64,
+    claim_of: impl Fn(&str) -> Claim,
 ) -> Vec<usize> {
-    let mut used: HashMap<&str, f64> = HashMap::new();
+    let mut claims: HashMap<&str, Claim> = HashMap::new();
     for waiting in waiting {
         let team = &waiting.ask.team;
-        used.entry(team).or_insert_with(|| used_by(team));
+        claims.entry(team).or_insert_with(|| claim_of(team));
     }
-    let most = used.values().copied().fold(0.0, f64::max);
+    let most = claims.values().map(|claim| claim.used).fold(0.0, f64::max);
     let step_tokens = step_tokens(most);
     let mut left: Vec<usize> = (0..waiting.len()).collect();
     let mut order = Vec::with_capacity(left.len());
-    while let Some((place, next)) = next_of(waiting, &left, &used, share, step_tokens) {
+    while let Some((place, next)) = next_of(waiting, &left, &claims, share, step_tokens) {
         left.swap_remove(place);
         order.push(next);
         let ask = &waiting[next].ask;
-        let team_use = used.get_mut(&*ask.team).expect("every team was put there");
-        *team_use += f64::from(ask.service_tokens());
+        let claim = claims
+            .get_mut(&*ask.team)
+            .expect("every team was put there");
+        claim.used += f64::from(ask.service_tokens());
+        claim.overdue_at = None;
     }
     order
 }
@@ -47,7 +59,7 @@
 fn next_of(
     waiting: &[Waiting],
     left: &[usize],
-    used: &HashMap<&str, f64>,
+    claims: &HashMap<&str, Claim>,
     share: f64,
     step_tokens: f64,
 ) -> Option<(usize, usize)> {
@@ -55,11 +67,14 @@
     places.min_by(|(_, a), (_, b)| {
         let (a, b) = (&waiting[*a], &waiting[*b]);
         let by_precedence = {
-            let precedence = |ask: &Ask| precedence(ask.rank, used[&*ask.team], share);
+            let precedence = |ask: &Ask| {
+                let claim = claims[&*ask.team];
+                precedence(ask.rank, claim.used, share, claim.overdue_at)
+            };
             precedence(&a.ask).cmp(&precedence(&b.ask))
         };
         let by_use = {
-            let step = |ask: &Ask| step_of(used[&*ask.team], step_tokens);
+            let step = |ask: &Ask| step_of(claims[&*ask.team].used, step_tokens);
             step(&a.ask).cmp(&step(&b.ask))
         };
         let (a_ends, b_ends) = (a.since + a.ask.budget, b.since + b.ask.budget);
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -13,9 +13,9 @@
 use crate::ask::{Ask, AskId, Decision, Load, Rules};
 use crate::cache::Cache;
 use crate::engine::{Report, Run};
-use crate::order::{Waiting, order_of};
+use crate::order::{Claim, Waiting, order_of};
 use crate::pace::Pace;
-use crate::turn::{reference, turn_permille};
+use crate::turn::{is_overdue, reference, turn_permille};
 use crate::usage::Usage;
 
 /// Time from a prompt's reading to the first piece of its answer that is assumed at first: the steps of one event beside
@@ -99,6 +99,8 @@
     given_up: u32,
     lost: Vec<(AskId, Duration)>,
     usage: Usage,
+    /// What the teams have had here of late.
+    had: Usage,
     /// What the teams have used at other engines, as it was last told.
     elsewhere: Usage,
     /// Until when teams within their share are expected to need the engine.
@@ -129,6 +131,7 @@
             given_up: 0,
             lost: Vec::new(),
             usage: Usage::default(),
+            had: Usage::of_late(),
             elsewhere: Usage::default(),
             crowded_until: Duration::ZERO,
             most_used: 0.0,
@@ -368,7 +371,10 @@
             let waiting = &self.waiting[place];
             let own = u64::from(self.tokens_to_read(&waiting.ask));
             let used = self.used(now, &waiting.ask.team);
-            let permille = turn_permille(self.rules.turn_permille, used, share);
+            let is_overdue = self.overdue_at(now, &waiting.ask.team).is_some();
+            // A turn that is overdue comes as for a team within its share.
+            let counted = if is_overdue { used.min(share) } else { used };
+            let permille = turn_permille(self.rules.turn_permille, counted, share);
             let budget = waiting.ask.budget.saturating_sub(self.first_event);
             // Nobody else is read while a long prompt is, so that of a team above its share counts in its turn. Any other one
             // doesn't, or long prompts would be refused whenever there is any load.
@@ -384,7 +390,7 @@
                 crowded = true;
             }
             let team = &waiting.ask.team;
-            let part = if used < self.most_used * FAR_LESS {
+            let part = if is_overdue || used < self.most_used * FAR_LESS {
                 STAY_PART_BEHIND
             } else {
                 STAY_PART
@@ -439,7 +445,17 @@
 
     /// Returns the places of the waiting asks in the order of their turns.
     fn order(&self, now: Duration) -> Vec<usize> {
-        order_of(&self.waiting, self.share, |team| self.used(now, team))
+        order_of(&self.waiting, self.share, |team| Claim {
+            used: self.used(now, team),
+            overdue_at: self.overdue_at(now, team),
+        })
+    }
+
+    /// Returns what a team has had here of late, if that is far less than the one with the most.
+    fn overdue_at(&self, now: Duration, team: &str) -> Option<f64> {
+        let most = self.had.teams(now).map(|(_, tokens)| tokens);
+        let had = self.had.of(now, team);
+        is_overdue(had, most.fold(0.0, f64::max)).then_some(had)
     }
 
     fn grant(&mut self, now: Duration, next: &Waiting) -> Decision {
@@ -454,6 +470,7 @@
             self.cache.touch(key, u64::from(tokens), self.running_kv);
         }
         self.usage.add(now, &ask.team, ask.service_tokens());
+        self.had.add(now, &ask.team, ask.service_tokens());
         self.share_until = Duration::ZERO;
         self.unread_tokens += unread_tokens;
         self.pace.busy(now);
--- a/crates/admission/src/turn.rs
+++ b/crates/admission/src/turn.rs
@@ -36,20 +36,36 @@
     Begun,
     /// A team within its share, by its rank.
     WithinShare(u32),
-    /// A team above its share.
+    /// A team above its share that has had far less of late than another one: this many tokens.
+    Overdue(u64),
+    /// Another team above its share.
     AboveShare,
 }
 
-/// Returns the precedence of an ask, by its rank and its team's use.
+/// Part of what another team had of late below which a team above its share goes before the others above theirs.
+///
+/// The load pattern: a team has a fleet to itself, and then others ask for more than their shares as well. If it paid all of its
+/// lead back before its next turn, it would get nothing for seconds, and in six of them less than half of what the others get:
+/// with four such teams a lead takes as many seconds to fade. So a lead costs a quarter of an even share, and no more.
+const LEAST_PART_OF_LATE: f64 = 0.75;
+
+/// Returns whether a team's turn is overdue, by what it and the team with the most had here of late.
+pub(crate) fn is_overdue(had: f64, most: f64) -> bool {
+    had < most * LEAST_PART_OF_LATE
+}
+
+/// Returns the precedence of an ask, by its rank, its team's use and what the team has had of late where its turn
+/// is overdue.
 ///
 /// The load pattern: a team of the first rank asks for several times its share. If its rank went before use at all times, a
 /// hot team of a later rank would get nothing beside it: 0 of 334 asks in the queue's model, 65 of 334 with this. So a rank
 /// speeds up what is within a team's share, and no more.
-pub(crate) fn precedence(rank: u32, used: f64, share: f64) -> Precedence {
-    match rank {
-        0 => Precedence::Begun,
+pub(crate) fn precedence(rank: u32, used: f64, share: f64, overdue_at: Option<f64>) -> Precedence {
+    match (rank, overdue_at) {
+        (0, _) => Precedence::Begun,
         _ if used <= share => Precedence::WithinShare(rank),
-        _ => Precedence::AboveShare,
+        (_, Some(had)) => Precedence::Overdue(step_of(had, 1.0)),
+        (_, None) => Precedence::AboveShare,
     }
 }
 
--- a/crates/admission/src/usage.rs
+++ b/crates/admission/src/usage.rs
@@ -6,6 +6,9 @@
 /// Time in which a use loses half of its weight; shares are owed over some four seconds.
 const HALF_LIFE: Duration = Duration::from_secs(2);
 
+/// The same where only the last few requests count: an engine reads about three in it.
+const SHORT_HALF_LIFE: Duration = Duration::from_millis(500);
+
 /// Use below which a team is forgotten, in tokens.
 const FORGET_BELOW: f64 = 1.0;
 
@@ -19,23 +22,42 @@
 }
 
 impl Used {
-    fn at(self, now: Duration) -> f64 {
+    fn at(self, now: Duration, half_life: Duration) -> f64 {
         let age = now.saturating_sub(self.at).as_secs_f64();
-        self.tokens * 0.5_f64.powf(age / HALF_LIFE.as_secs_f64())
+        self.tokens * 0.5_f64.powf(age / half_life.as_secs_f64())
     }
 }
 
 /// Holds the use of the teams, of which older parts count less.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Usage {
     teams: HashMap<Box<str>, Used>,
+    half_life: Duration,
+}
+
+impl Default for Usage {
+    fn default() -> Self {
+        Self {
+            teams: HashMap::new(),
+            half_life: HALF_LIFE,
+        }
+    }
 }
 
 impl Usage {
+    /// Creates one in which only the last few requests count.
+    pub(crate) fn of_late() -> Self {
+        Self {
+            half_life: SHORT_HALF_LIFE,
+            ..Self::default()
+        }
+    }
+
     /// Returns what a team has used lately, in tokens.
     #[must_use]
     pub fn of(&self, now: Duration, team: &str) -> f64 {
-        self.teams.get(team).map_or(0.0, |used| used.at(now))
+        let used = self.teams.get(team);
+        used.map_or(0.0, |used| used.at(now, self.half_life))
     }
 
     /// Adds to a team's use.
@@ -50,7 +72,9 @@
             return;
         }
         if self.teams.len() >= MANY_TEAMS {
-            self.teams.retain(|_, used| used.at(now) >= FORGET_BELOW);
+            let half_life = self.half_life;
+            self.teams
+                .retain(|_, used| used.at(now, half_life) >= FORGET_BELOW);
         }
         self.teams.insert(team.into(), used);
     }
@@ -76,7 +100,7 @@
     pub fn teams(&self, now: Duration) -> impl Iterator<Item = (&str, f64)> {
         let teams = self.teams.iter();
         teams
-            .map(move |(team, used)| (&**team, used.at(now)))
+            .map(move |(team, used)| (&**team, used.at(now, self.half_life)))
             .filter(|(_, tokens)| *tokens >= FORGET_BELOW)
     }
 }
