--- a/crates/control/tests/roles/diskless.rs
+++ b/crates/control/tests/roles/diskless.rs
@@ -56,6 +56,13 @@
     }
 }
 
+/// Waits until so many instances vote or follow.
+async fn members_are(fleet: &Fleet, count: usize) {
+    while fleet.status().await.control.len() != count {
+        pause().await;
+    }
+}
+
 async_cases! { real
     an_instance_without_a_disk_follows_and_forwards => {
         let mut fleet = Fleet::start_tolerating(3, 1).await;
@@ -99,6 +106,7 @@
         }
         put(&fleet, "control-0", 1).await;
         voters_are(&fleet, &["control-2", "control-3", "control-4"]).await;
+        members_are(&fleet, 5).await;
         let names: Vec<Box<str>> = fleet.running.keys().cloned().collect();
         for name in &names {
             fleet.stop(name).await;
@@ -113,6 +121,26 @@
         put(&fleet, "control-1", 2).await;
         voters_are(&fleet, &["control-2", "control-3", "control-4"]).await;
     }
+    many_without_a_disk_that_come_back_with_nothing_all_follow_again => {
+        // All lost power, and a leader sent the whole log to eleven at once: it had 88 MB, ended, and so did the next one.
+        let mut fleet = Fleet::start_tolerating(3, 1).await;
+        let diskless: Vec<String> = (3..9).map(|n| format!("control-{n}")).collect();
+        for name in &diskless {
+            fleet.open_diskless(name, false).await;
+        }
+        put(&fleet, "control-0", 1).await;
+        members_are(&fleet, 9).await;
+        for name in &diskless {
+            fleet.stop(name).await;
+        }
+        for name in &diskless {
+            fleet.open_diskless(name, false).await;
+        }
+        put(&fleet, "control-0", 2).await;
+        for name in &diskless {
+            is_told(&fleet, name, 2).await;
+        }
+    }
     a_fleet_without_any_disk_goes_on_without => {
         let mut fleet = Fleet::unstarted(3, 1);
         for name in ["control-0", "control-1", "control-2"] {
