--- a/crates/control/src/driver/diskless.rs
+++ b/crates/control/src/driver/diskless.rs
@@ -32,6 +32,7 @@
 }
 
 impl Thread {
+    /// Returns whether an instance is known to keep the log in memory only.
     pub(super) fn is_diskless(&self, node_id: NodeId) -> bool {
         if node_id == self.own_id {
             return matches!(self.log, Log::Memory);
@@ -43,6 +44,7 @@
         )
     }
 
+    /// Counts the voters with and without a disk; one that nobody has heard of counts for neither.
     pub(super) fn voter_disks(&self) -> VoterDisks {
         let voters = &self.node.membership().voters;
         let is_known = |id: NodeId| {
@@ -60,9 +62,9 @@
 
     /// Returns whether a follower without a disk is being brought up to the end of the log.
     ///
-    /// The load pattern: all instances lose power, and all those without a disk come back with nothing at the same moment. What is on
-    /// the way to one of them is some 16 MB where the tables are long, so bringing eleven up at once took a leader
-    /// beyond its memory, again and again. They get the log one after the other.
+    /// The load pattern: all instances lose power, and all those without a disk come back with nothing at the same moment. Where tables
+    /// are long, several batches of entries on the way to each of them take a leader beyond its memory, and the next one after it.
+    /// So they get the log one after the other.
     pub(super) fn brings_one_up(&self) -> bool {
         let learners = &self.node.membership().learners;
         learners.iter().any(|id| {
