--- a/crates/control/src/driver/diskless.rs
+++ b/crates/control/src/driver/diskless.rs
@@ -21,9 +21,6 @@
 /// Silence after which a follower without a disk is forgotten; one that was only cut off joins again.
 const FORGET_AFTER: Duration = Duration::from_secs(10);
 
-/// Silence after which a follower counts as one that gets nothing at the moment.
-const CATCHING_UP: Duration = Duration::from_secs(1);
-
 /// Counts the voters by what is known of their disks.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct VoterDisks {
@@ -60,20 +57,6 @@
         }
     }
 
-    /// Returns whether a follower without a disk is being brought up to the end of the log.
-    ///
-    /// The load pattern: all instances lose power, and all those without a disk come back with nothing at the same moment. Where tables
-    /// are long, several batches of entries on the way to each of them take a leader beyond its memory, and the next one after it.
-    /// So they get the log one after the other.
-    pub(super) fn brings_one_up(&self) -> bool {
-        let learners = &self.node.membership().learners;
-        learners.iter().any(|id| {
-            self.is_diskless(*id)
-                && !self.node.is_silent(*id, CATCHING_UP)
-                && !self.node.is_caught_up(*id)
-        })
-    }
-
     /// Returns whether a commit is as durable as this fleet can make it.
     pub(super) fn keeps_commits(&self) -> bool {
         let is_alone = self.founding.len() == 1;
--- a/crates/control/src/driver/joining.rs
+++ b/crates/control/src/driver/joining.rs
@@ -44,9 +44,6 @@
             });
         }
         let changed = if !membership.is_learner(join.node_id) {
-            if self.is_diskless(join.node_id) && self.brings_one_up() {
-                return waits("another instance without a disk gets the log first");
-            }
             self.change(now, MembershipChange::AddLearner(join.node_id))
         } else if let Err(cause) = self.node.check_promotion(join.node_id) {
             Err(cause.to_string())
--- a/crates/control/tests/roles/diskless.rs
+++ b/crates/control/tests/roles/diskless.rs
@@ -122,7 +122,7 @@
         voters_are(&fleet, &["control-2", "control-3", "control-4"]).await;
     }
     many_without_a_disk_that_come_back_with_nothing_all_follow_again => {
-        // All lost power, and a leader sent the whole log to eleven at once: its memory of 88 MB did not suffice, nor the next one's.
+        // All of them lost power, and come back with nothing at the same moment.
         let mut fleet = Fleet::start_tolerating(3, 1).await;
         let diskless: Vec<String> = (3..9).map(|n| format!("control-{n}")).collect();
         for name in &diskless {
--- a/crates/raft/src/membership.rs
+++ b/crates/raft/src/membership.rs
@@ -178,16 +178,6 @@
         Ok(())
     }
 
-    /// Returns whether a member has what the log held when it joined, as this leader knows it.
-    #[must_use]
-    pub fn is_caught_up(&self, id: NodeId) -> bool {
-        let State::Leader(leading) = &self.state else {
-            return false;
-        };
-        let progress = leading.peers.get(&id);
-        progress.is_some_and(|progress| progress.match_index >= progress.joined_index)
-    }
-
     /// Returns a voter that has not answered this leader for some time, if there is one.
     #[must_use]
     pub fn silent_voter(&self, longest: std::time::Duration) -> Option<NodeId> {
