Compute the most that a team had once a decision, and let tests and founding share what stood twice

Found in the last reading of the change; behaviour stays as it is, and no test asserts less. - Admission: the team with the most of late was sought among all teams for each ask that waits, in both passes; once a pass now. - Control: the count of voters by their disks stands with the pure decisions that take it (the two modules used each other), and the condition that nobody has a disk stands once.

--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -363,6 +363,7 @@
     /// Refuses the asks whose turn comes too late; the others keep their places.
     fn turn_away(&mut self, now: Duration, decisions: &mut Vec<Decision>) {
         let share = self.reference_use(now);
+        let most_had = self.most_had(now);
         let mut ahead = u64::from(self.unread_tokens);
         let mut late = Vec::new();
         let mut staying: SmallVec<[Box<str>; 8]> = SmallVec::new();
@@ -371,7 +372,7 @@
             let waiting = &self.waiting[place];
             let own = u64::from(self.tokens_to_read(&waiting.ask));
             let used = self.used(now, &waiting.ask.team);
-            let is_overdue = self.overdue_at(now, &waiting.ask.team).is_some();
+            let is_overdue = self.overdue_at(now, &waiting.ask.team, most_had).is_some();
             // A turn that is overdue comes as for a team within its share.
             let counted = if is_overdue { used.min(share) } else { used };
             let permille = turn_permille(self.rules.turn_permille, counted, share);
@@ -445,17 +446,23 @@
 
     /// Returns the places of the waiting asks in the order of their turns.
     fn order(&self, now: Duration) -> Vec<usize> {
+        let most_had = self.most_had(now);
         order_of(&self.waiting, self.share, |team| Claim {
             used: self.used(now, team),
-            overdue_at: self.overdue_at(now, team),
+            overdue_at: self.overdue_at(now, team, most_had),
         })
     }
 
-    /// Returns what a team has had here of late, if that is far less than the one with the most.
-    fn overdue_at(&self, now: Duration, team: &str) -> Option<f64> {
-        let most = self.had.teams(now).map(|(_, tokens)| tokens);
+    /// Returns what the team with the most has had here of late.
+    fn most_had(&self, now: Duration) -> f64 {
+        let had = self.had.teams(now).map(|(_, tokens)| tokens);
+        had.fold(0.0, f64::max)
+    }
+
+    /// Returns what a team has had here of late, if that is far less than the most.
+    fn overdue_at(&self, now: Duration, team: &str, most_had: f64) -> Option<f64> {
         let had = self.had.of(now, team);
-        is_overdue(had, most.fold(0.0, f64::max)).then_some(had)
+        is_overdue(had, most_had).then_some(had)
     }
 
     fn grant(&mut self, now: Duration, next: &Waiting) -> Decision {
--- a/crates/control/src/driver/diskless.rs
+++ b/crates/control/src/driver/diskless.rs
@@ -11,7 +11,7 @@
 use hinge_telemetry::log::Part;
 
 use super::thread::Thread;
-use super::votes::{hands_votes_on, may_acknowledge};
+use super::votes::{VoterDisks, hands_votes_on, may_acknowledge};
 use crate::open::Log;
 
 /// Time from the start in which instances with a disk are expected to join. A fleet in which none has joined by then has none,
@@ -21,13 +21,6 @@
 /// Silence after which a follower without a disk is forgotten; one that was only cut off joins again.
 const FORGET_AFTER: Duration = Duration::from_secs(10);
 
-/// Counts the voters by what is known of their disks.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct VoterDisks {
-    pub(super) with: usize,
-    pub(super) without: usize,
-}
-
 impl Thread {
     /// Returns whether an instance is known to keep the log in memory only.
     pub(super) fn is_diskless(&self, node_id: NodeId) -> bool {
--- a/crates/control/src/driver/votes.rs
+++ b/crates/control/src/driver/votes.rs
@@ -9,8 +9,6 @@
 
 use hinge_raft::NodeId;
 
-use super::diskless::VoterDisks;
-
 /// Most instances that vote. Nine bear the loss of four, twice what a fleet of today is asked to bear, and a commit waits for
 /// more than half of the voters, so each further one makes it dearer.
 pub(super) const MOST_VOTERS: usize = 9;
@@ -28,6 +26,20 @@
     pub(super) silent_voter: Option<NodeId>,
 }
 
+/// Counts the voters by what is known of their disks.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct VoterDisks {
+    pub(super) with: usize,
+    pub(super) without: usize,
+}
+
+impl VoterDisks {
+    /// Returns whether the fleet has to do without any disk, since none has joined while it was founded.
+    fn are_none(self, is_being_founded: bool) -> bool {
+        self.with == 0 && !is_being_founded
+    }
+}
+
 /// Says what a leader does for a learner that is ready and asks for a vote.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Vote {
@@ -69,7 +81,7 @@
 ///
 /// What an instance without a disk confirms is gone when its process ends, so its vote counts only where nobody has a disk.
 pub(super) fn may_vote(is_diskless: bool, disks: VoterDisks, is_being_founded: bool) -> bool {
-    !is_diskless || (disks.with == 0 && !is_being_founded)
+    !is_diskless || disks.are_none(is_being_founded)
 }
 
 /// Returns whether voters without a disk leave the quorum now.
@@ -87,5 +99,5 @@
 
 /// Returns whether a commit may be acknowledged: every voter keeps it on a disk, or no instance of the fleet has one.
 pub(super) fn may_acknowledge(disks: VoterDisks, is_being_founded: bool) -> bool {
-    disks.without == 0 || (disks.with == 0 && !is_being_founded)
+    disks.without == 0 || disks.are_none(is_being_founded)
 }
--- a/crates/control/src/open.rs
+++ b/crates/control/src/open.rs
@@ -119,6 +119,11 @@
     fnv1a(format!("{cluster_id}/{instance}").as_bytes()).max(1)
 }
 
+/// Draws the incarnation of an instance that joins.
+fn joiner_id() -> NodeId {
+    rand::random::<u64>().max(1)
+}
+
 /// Opens the log and the state of an instance; one that took part before and has an empty folder joins anew.
 pub(crate) fn open(settings: &ControlSettings, took_part: bool) -> Result<Opened, OpenError> {
     let Some(folder) = &settings.data_folder else {
@@ -145,17 +150,14 @@
             )
             .map_err(OpenError::Store)?
         }
-        Err(hinge_store::OpenError::Empty) => {
-            let node_id = rand::random::<u64>().max(1);
-            Store::create(
-                disk()?,
-                &identity,
-                node_id,
-                Origin::Joiner,
-                Options::default(),
-            )
-            .map_err(OpenError::Store)?
-        }
+        Err(hinge_store::OpenError::Empty) => Store::create(
+            disk()?,
+            &identity,
+            joiner_id(),
+            Origin::Joiner,
+            Options::default(),
+        )
+        .map_err(OpenError::Store)?,
         Err(cause) => return Err(OpenError::Store(cause)),
     };
     let founding = read_founding(&founding_path, &settings.cluster_id)?;
@@ -196,7 +198,7 @@
     if !settings.bootstrap || took_part {
         return Ok(Opened {
             log: Log::Memory,
-            node_id: rand::random::<u64>().max(1),
+            node_id: joiner_id(),
             durable: Durable::default(),
             state: State::default(),
             founding: BTreeMap::new(),
--- a/crates/control/tests/roles/diskless.rs
+++ b/crates/control/tests/roles/diskless.rs
@@ -6,38 +6,19 @@
 use std::collections::BTreeSet;
 
 use hinge_cases::async_cases;
-use hinge_control::WATCH_ROUTES_PATH;
-use hinge_schema::routing::{RoutesUpdate, TableHeld, WatchRoutes};
 
-use crate::fleet::{Fleet, pause, table};
+use crate::fleet::{Fleet, pause};
 
 /// Puts a table at one instance until it is taken.
 async fn put(fleet: &Fleet, name: &str, number: u64) {
-    let message = table(number);
-    loop {
-        let put = fleet.call::<_, TableHeld>(name, "/v1/routes/put", &message);
-        if put.await.is_ok_and(|held| held.number >= number) {
-            return;
-        }
+    while !fleet.try_put_table(name, number).await {
         pause().await;
     }
 }
 
 /// Waits until an instance tells a gateway of a table.
 async fn is_told(fleet: &Fleet, name: &str, number: u64) {
-    let watch = WatchRoutes {
-        instance: "gateway-1".into(),
-        peer_address: None,
-        table_number: number - 1,
-        endpoints_version: u64::MAX,
-        wait_ms: 100,
-    };
-    loop {
-        let watched = fleet.call::<_, RoutesUpdate>(name, WATCH_ROUTES_PATH, &watch);
-        let table = watched.await.ok().and_then(|update| update.table);
-        if table.is_some_and(|table| table.number >= number) {
-            return;
-        }
+    while !fleet.tells_of_table(name, number).await {
         pause().await;
     }
 }
--- a/crates/control/tests/roles/fleet.rs
+++ b/crates/control/tests/roles/fleet.rs
@@ -5,12 +5,14 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use hinge_control::{Control, ControlSettings, Dial, OperatorKeys, Peer};
+use hinge_control::{Control, ControlSettings, Dial, OperatorKeys, Peer, WATCH_ROUTES_PATH};
 use hinge_link::{CallError, Client, ClusterKey};
 use hinge_schema::messages::{
     Announce, Apply, ApplyReply, AskStatus, ConfigFile, Role, Status, StatusReply,
 };
-use hinge_schema::routing::{CallerLimits, PutTable, RouteTable};
+use hinge_schema::routing::{
+    CallerLimits, PutTable, RouteTable, RoutesUpdate, TableHeld, WatchRoutes,
+};
 use hinge_telemetry::metrics::Registry;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -230,6 +232,30 @@
             .expect("the instance answers")
     }
 
+    /// Puts a table at an instance, and returns whether it is in force then.
+    pub async fn try_put_table(&self, name: &str, number: u64) -> bool {
+        let put = self
+            .call::<_, TableHeld>(name, "/v1/routes/put", &table(number))
+            .await;
+        put.is_ok_and(|held| held.number >= number)
+    }
+
+    /// Asks an instance for a newer table as a gateway does, and returns whether it tells of it.
+    pub async fn tells_of_table(&self, name: &str, number: u64) -> bool {
+        let watch = WatchRoutes {
+            instance: "gateway-1".into(),
+            peer_address: None,
+            table_number: number - 1,
+            endpoints_version: u64::MAX,
+            wait_ms: 100,
+        };
+        let watched = self
+            .call::<_, RoutesUpdate>(name, WATCH_ROUTES_PATH, &watch)
+            .await;
+        let table = watched.ok().and_then(|update| update.table);
+        table.is_some_and(|table| table.number >= number)
+    }
+
     /// Returns the status at the leader, once there is one that answers.
     pub async fn status(&self) -> Status {
         let ask = AskStatus {
@@ -260,7 +286,7 @@
 }
 
 /// Returns a table without routes.
-pub fn table(number: u64) -> PutTable {
+fn table(number: u64) -> PutTable {
     let limits = CallerLimits {
         max_header_bytes: 1,
         max_body_bytes: 1,
--- a/crates/control/tests/roles/halves.rs
+++ b/crates/control/tests/roles/halves.rs
@@ -17,10 +17,8 @@
 use std::collections::BTreeSet;
 
 use hinge_cases::async_cases;
-use hinge_control::WATCH_ROUTES_PATH;
-use hinge_schema::routing::{RoutesUpdate, TableHeld, WatchRoutes};
 
-use crate::fleet::{Fleet, pause, table};
+use crate::fleet::{Fleet, pause};
 
 /// Tries after which a side has no leader: an election takes some 200 of them, each with a pause of 5 ms.
 const TRIES: usize = 3_000;
@@ -59,11 +57,9 @@
 
 /// Puts a table as an operator does who reaches both sides, and returns whether any instance took it.
 async fn put(fleet: &Fleet, number: u64) -> bool {
-    let message = table(number);
     for _ in 0..TRIES {
         for name in fleet.running.keys() {
-            let put = fleet.call::<_, TableHeld>(name, "/v1/routes/put", &message);
-            if put.await.is_ok_and(|held| held.number >= number) {
+            if fleet.try_put_table(name, number).await {
                 return true;
             }
         }
@@ -74,18 +70,9 @@
 
 /// Returns whether a gateway that reaches only some instances learns of a table.
 async fn is_told(fleet: &Fleet, reached: &[&str], number: u64) -> bool {
-    let watch = WatchRoutes {
-        instance: "gateway-1".into(),
-        peer_address: None,
-        table_number: number - 1,
-        endpoints_version: u64::MAX,
-        wait_ms: 100,
-    };
     for _ in 0..TRIES {
         for name in reached {
-            let watched = fleet.call::<_, RoutesUpdate>(name, WATCH_ROUTES_PATH, &watch);
-            let Ok(update) = watched.await else { continue };
-            if update.table.is_some_and(|table| table.number >= number) {
+            if fleet.tells_of_table(name, number).await {
                 return true;
             }
         }
