Show at which stage each team's tokens are lost, second by second

Callers saw a team below half of the best served one, and no log could tell where between gateway and engine its share was lost: a refusal for overload named no team, a request's line held no tokens, and sequoiactl shares counted the admissions' decisions only.

Request lines now hold the tokens of prompt and answer and the attempts that found no connection, also where the gateway had no room; shares adds up asked, overloaded, not run, granted and begun tokens, and names each team that was short over six seconds.

--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -126,6 +126,9 @@
 pub(crate) struct SharesOptions {
     /// print this help
     pub(crate) help: bool,
+    /// show also what became of this team's requests, second by second
+    #[options(no_short, meta = "TEAM")]
+    pub(crate) team: Option<String>,
     /// logs of the processes, a file each; - reads standard input
     #[options(free)]
     pub(crate) logs: Vec<String>,
--- a/crates/ctl/src/commands/shares.rs
+++ b/crates/ctl/src/commands/shares.rs
@@ -10,23 +10,44 @@
 use crate::logs::read_all;
 use crate::output::Output;
 use crate::shares::{Shares, add_up};
+use crate::stages::{Short, StageTable, Stages};
 
 /// Runs `shares`.
 pub(crate) fn run(options: &SharesOptions, output: &mut Output<'_, '_>) -> Result<Exit, Failure> {
-    let shares = add_up(&read_all(&options.logs)?);
+    let logs = read_all(&options.logs)?;
+    let shares = add_up(&logs);
+    let table = StageTable::read(&logs);
     let exit = if shares.teams.is_empty() {
         Exit::Failed
     } else {
         Exit::Ok
     };
-    output.show(&Shown { shares })?;
+    let short = table.short_teams();
+    let team = options.team.as_deref().unwrap_or_default();
+    let stages = table.of_team(team);
+    let stages = stages.map(|(second, stages)| Second { second, stages });
+    output.show(&Shown {
+        shares,
+        short,
+        stages: stages.collect(),
+    })?;
     Ok(exit)
 }
 
+/// Holds what became of a team's requests in one second from the first line on.
+#[derive(Serialize)]
+struct Second {
+    second: u64,
+    #[serde(flatten)]
+    stages: Stages,
+}
+
 #[derive(Serialize)]
 struct Shown {
     #[serde(flatten)]
     shares: Shares,
+    short: Vec<Short>,
+    stages: Vec<Second>,
 }
 
 impl Display for Shown {
@@ -52,6 +73,30 @@
                 share.granted, share.granted_tokens, share.refused, share.refused_tokens
             )?;
         }
+        for short in &self.short {
+            writeln!(
+                f,
+                "short from {} s, in 6 s: {}: {}; {} began {}",
+                short.from_s, short.team, short.stages, short.best, short.best_begun_tokens
+            )?;
+        }
+        for Second { second, stages } in &self.stages {
+            writeln!(f, "{second} s: {stages}")?;
+        }
         Ok(())
     }
 }
+
+impl Display for Stages {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "asked {}, overloaded {}, not run {}, granted {}, began {}",
+            self.asked_tokens,
+            self.overloaded_tokens,
+            self.not_run_tokens,
+            self.granted_tokens,
+            self.begun_tokens
+        )
+    }
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -16,6 +16,7 @@
 mod scrape;
 mod shares;
 mod show;
+mod stages;
 mod story;
 mod values;
 
--- a/crates/ctl/src/shares.rs
+++ b/crates/ctl/src/shares.rs
@@ -94,27 +94,42 @@
     shares
 }
 
-struct Decision {
-    at: Duration,
-    team: Box<str>,
-    tokens: u64,
-    is_granted: bool,
+/// Holds what an admission decided on an ask.
+pub(crate) struct Decision {
+    pub(crate) at: Duration,
+    pub(crate) team: Box<str>,
+    pub(crate) tokens: u64,
+    pub(crate) is_granted: bool,
 }
 
 impl Decision {
-    fn read(line: &Line) -> Option<Self> {
-        let time = humantime::parse_rfc3339(&line.time).ok()?;
-        let at = time.duration_since(std::time::UNIX_EPOCH).ok()?;
+    /// Reads a line; none where it tells of no decision.
+    pub(crate) fn read(line: &Line) -> Option<Self> {
+        if !matches!(&*line.sentence, GRANTED | REFUSED) {
+            return None;
+        }
         Some(Self {
-            at,
+            at: unix_time(line)?,
             team: line.get("team")?.into(),
-            tokens: number(line, "prompt_tokens") + number(line, "answer_tokens") * ANSWER_WEIGHT,
+            tokens: service_tokens(line),
             is_granted: &*line.sentence == GRANTED,
         })
     }
 }
 
-fn number(line: &Line, key: &str) -> u64 {
+/// Returns when a line was written, since 1970.
+pub(crate) fn unix_time(line: &Line) -> Option<Duration> {
+    let time = humantime::parse_rfc3339(&line.time).ok()?;
+    time.duration_since(std::time::UNIX_EPOCH).ok()
+}
+
+/// Returns what a request counts for, in tokens of service.
+pub(crate) fn service_tokens(line: &Line) -> u64 {
+    number(line, "prompt_tokens") + number(line, "answer_tokens") * ANSWER_WEIGHT
+}
+
+/// Returns the number under a key; 0 where there is none.
+pub(crate) fn number(line: &Line, key: &str) -> u64 {
     let value = line.get(key).and_then(|value| value.parse().ok());
     value.unwrap_or_default()
 }
--- /dev/null
+++ b/crates/ctl/src/stages.rs
@@ -0,0 +1,224 @@
+//! Counts, out of logs, at which stage each team's requests to the engines were lost, second by second.
+//!
+//! An admission's word covers what was asked of it. What a gateway turned away before, and what was granted and never began, shows in the
+//! gateways' lines of the requests' ends only.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use hinge_telemetry::parse::Line;
+use serde::Serialize;
+
+use crate::logs::read_line;
+use crate::shares::{Decision, number, service_tokens, unix_time};
+
+/// Seconds over which the service of teams is compared.
+const WINDOW_S: u64 = 6;
+
+/// Part of what it could have had below which a team is short, as a divisor.
+const SHORT_DIVISOR: u64 = 2;
+
+/// Largest requests of a team that don't count when it is compared.
+const SLACK_REQUESTS: u64 = 3;
+
+/// Sentence of the line that ends a request at a gateway, and the outcome of one that it had no room for.
+const END: &str = "Request.";
+const OVERLOADED: &str = "overloaded";
+
+/// Holds what became of one team's requests in one second, in tokens of service.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
+#[expect(clippy::struct_field_names, reason = "fields carry their unit")]
+pub(crate) struct Stages {
+    /// Arrived at gateways.
+    pub(crate) asked_tokens: u64,
+    /// Turned away by a gateway that had no room.
+    pub(crate) overloaded_tokens: u64,
+    /// Refused by admissions and not begun elsewhere.
+    pub(crate) not_run_tokens: u64,
+    /// Granted by admissions.
+    pub(crate) granted_tokens: u64,
+    /// Begun, by the first piece of the answer.
+    pub(crate) begun_tokens: u64,
+}
+
+/// Holds a team that had far less than its share while it waited.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Short {
+    /// Seconds from the first line to the window's start.
+    pub(crate) from_s: u64,
+    pub(crate) team: Box<str>,
+    /// What became of its requests in the window.
+    pub(crate) stages: Stages,
+    pub(crate) best: Box<str>,
+    pub(crate) best_begun_tokens: u64,
+}
+
+/// Holds the stages of each team in each second from the first line on.
+#[derive(Debug, Default)]
+pub(crate) struct StageTable {
+    first: Option<Duration>,
+    teams: BTreeMap<Box<str>, Team>,
+}
+
+#[derive(Debug, Default)]
+struct Team {
+    seconds: BTreeMap<u64, Stages>,
+    largest_tokens: u64,
+}
+
+enum Stage {
+    Asked,
+    Overloaded,
+    NotRun,
+    Granted,
+    Begun,
+}
+
+impl StageTable {
+    /// Reads logs, each with the name of its process.
+    pub(crate) fn read(logs: &[(Box<str>, String)]) -> Self {
+        let mut table = Self::default();
+        let mut events = Vec::new();
+        for (process, log) in logs {
+            for logged in log.lines().filter_map(|text| read_line(process, text)) {
+                note_line(&logged.line, &mut events);
+            }
+        }
+        table.first = events.iter().map(|event| event.at).min();
+        for event in &events {
+            table.add(event);
+        }
+        table
+    }
+
+    fn add(&mut self, event: &Event) {
+        let first = self.first.unwrap_or_default();
+        let second = event.at.saturating_sub(first).as_secs();
+        let team = self.teams.entry(event.team.clone()).or_default();
+        team.largest_tokens = team.largest_tokens.max(event.tokens);
+        let stages = team.seconds.entry(second).or_default();
+        let sum = match event.stage {
+            Stage::Asked => &mut stages.asked_tokens,
+            Stage::Overloaded => &mut stages.overloaded_tokens,
+            Stage::NotRun => &mut stages.not_run_tokens,
+            Stage::Granted => &mut stages.granted_tokens,
+            Stage::Begun => &mut stages.begun_tokens,
+        };
+        *sum += event.tokens;
+    }
+
+    /// Returns the seconds of one team, in order.
+    pub(crate) fn of_team(&self, team: &str) -> impl Iterator<Item = (u64, Stages)> {
+        let team = self.teams.get(team).into_iter();
+        team.flat_map(|team| team.seconds.iter())
+            .map(|(second, stages)| (*second, *stages))
+    }
+
+    /// Returns the teams that were turned away in each second of a window and had less than half of what they asked for or the best
+    /// served team had, whichever is less, second by second.
+    pub(crate) fn short_teams(&self) -> Vec<Short> {
+        let seconds = self.teams.values().flat_map(|team| team.seconds.keys());
+        let last = seconds.copied().max().unwrap_or_default();
+        let starts = 0..=last.saturating_sub(WINDOW_S - 1);
+        starts.flat_map(|from_s| self.short_from(from_s)).collect()
+    }
+
+    fn short_from(&self, from_s: u64) -> Vec<Short> {
+        let begun = |team: &Team| team.sum(from_s).begun_tokens;
+        let best = self.teams.iter().max_by_key(|(_, team)| begun(team));
+        let Some((best_name, best)) = best else {
+            return Vec::new();
+        };
+        let short = self.teams.iter().filter(|(_, team)| {
+            let could_have_had: u64 = (from_s..from_s + WINDOW_S)
+                .map(|second| {
+                    let asked = team.at(second).asked_tokens;
+                    asked.min(best.at(second).begun_tokens)
+                })
+                .sum();
+            let slack = SLACK_REQUESTS * team.largest_tokens;
+            let had = begun(team) + slack;
+            team.waits_throughout(from_s) && had < could_have_had / SHORT_DIVISOR
+        });
+        let short = short.map(|(name, team)| Short {
+            from_s,
+            team: name.clone(),
+            stages: team.sum(from_s),
+            best: best_name.clone(),
+            best_begun_tokens: begun(best),
+        });
+        short.collect()
+    }
+}
+
+impl Team {
+    fn at(&self, second: u64) -> Stages {
+        self.seconds.get(&second).copied().unwrap_or_default()
+    }
+
+    fn waits_throughout(&self, from_s: u64) -> bool {
+        let mut seconds = from_s..from_s + WINDOW_S;
+        seconds.all(|second| {
+            let stages = self.at(second);
+            stages.overloaded_tokens + stages.not_run_tokens > 0
+        })
+    }
+
+    fn sum(&self, from_s: u64) -> Stages {
+        let seconds = self.seconds.range(from_s..from_s + WINDOW_S);
+        seconds.fold(Stages::default(), |sum, (_, stages)| Stages {
+            asked_tokens: sum.asked_tokens + stages.asked_tokens,
+            overloaded_tokens: sum.overloaded_tokens + stages.overloaded_tokens,
+            not_run_tokens: sum.not_run_tokens + stages.not_run_tokens,
+            granted_tokens: sum.granted_tokens + stages.granted_tokens,
+            begun_tokens: sum.begun_tokens + stages.begun_tokens,
+        })
+    }
+}
+
+struct Event {
+    at: Duration,
+    team: Box<str>,
+    tokens: u64,
+    stage: Stage,
+}
+
+fn note_line(line: &Line, events: &mut Vec<Event>) {
+    if let Some(decision) = Decision::read(line).filter(|decision| decision.is_granted) {
+        events.push(Event {
+            at: decision.at,
+            team: decision.team,
+            tokens: decision.tokens,
+            stage: Stage::Granted,
+        });
+    }
+    if &*line.sentence == END {
+        note_request(line, events);
+    }
+}
+
+/// Notes the stages of a request that has ended; a plain one has none.
+fn note_request(line: &Line, events: &mut Vec<Event>) {
+    let (Some(ended), Some(team)) = (unix_time(line), line.get("team")) else {
+        return;
+    };
+    let tokens = service_tokens(line);
+    if tokens == 0 {
+        return;
+    }
+    let arrived = ended.saturating_sub(Duration::from_millis(number(line, "ms")));
+    let first_ms = number(line, "first_ms");
+    let fate = match line.get("outcome") {
+        _ if first_ms > 0 => (arrived + Duration::from_millis(first_ms), Stage::Begun),
+        Some(OVERLOADED) => (ended, Stage::Overloaded),
+        _ => (ended, Stage::NotRun),
+    };
+    for (at, stage) in [(arrived, Stage::Asked), fate] {
+        events.push(Event {
+            at,
+            team: team.into(),
+            tokens,
+            stage,
+        });
+    }
+}
--- a/crates/ctl/tests/shares.rs
+++ b/crates/ctl/tests/shares.rs
@@ -20,8 +20,13 @@
 ";
 
 fn shares(logs: &[&str]) -> (Exit, String) {
+    shares_with(&[], logs)
+}
+
+fn shares_with(options: &[&str], logs: &[&str]) -> (Exit, String) {
     let folder = tempfile::tempdir().expect("the system gives a folder");
     let mut args = vec!["shares".to_owned()];
+    args.extend(options.iter().map(|option| (*option).to_owned()));
     for (number, text) in logs.iter().enumerate() {
         let path = folder.path().join(format!("side-{number}.log"));
         std::fs::write(&path, text).expect("the folder is ours");
@@ -36,7 +41,48 @@
     (exit, String::from_utf8(out).expect("answers are text"))
 }
 
+/// Writes the logs of a gateway and an admission over six seconds: `shop` is served all that it asks for, and `surf`, which asks for
+/// as much, is granted a tenth of it, a part of which never begins.
+fn a_team_that_is_short() -> [Vec<String>; 2] {
+    let (mut gateway, mut admission) = (Vec::new(), Vec::new());
+    for second in 30..36 {
+        let ended = format!("2026-06-07T07:03:{second}.900Z info [gateway] Request.");
+        let granted = format!("2026-06-07T07:03:{second}.300Z info [admission] Granted.");
+        let tokens = "prompt_tokens=800 answer_tokens=100";
+        for (team, outcome, first_ms) in [
+            ("shop", "complete", 100),
+            ("surf", "overloaded", 0),
+            ("surf", "not_run", 0),
+        ] {
+            let line = format!(
+                "{ended} outcome={outcome} team={team} {tokens} first_ms={first_ms} ms=600"
+            );
+            gateway.extend(std::iter::repeat_n(line, 10));
+        }
+        admission.push(format!("{granted} team=surf {tokens}"));
+    }
+    let plain = "2026-06-07T07:03:32.000Z info [gateway] Request. outcome=complete team=- prompt_tokens=0 answer_tokens=0 first_ms=5 ms=5";
+    gateway.push(plain.into());
+    [gateway, admission]
+}
+
 cases! {
+    a_team_below_half_of_the_best_served_is_shown_with_the_stages_of_its_requests => {
+        let [gateway, admission] = a_team_that_is_short();
+        let logs = [gateway.join("\n"), admission.join("\n")];
+        let (exit, text) = shares_with(&["--team", "surf"], &[&logs[0], &logs[1]]);
+        assert_eq!(exit, Exit::Ok);
+        let short = "short from 0 s, in 6 s: surf: asked 120000, overloaded 60000, not run 60000, granted 6000, began 0; shop began 60000";
+        assert!(text.contains(short), "{text}");
+        let second = "3 s: asked 20000, overloaded 10000, not run 10000, granted 1000, began 0";
+        assert!(text.contains(second), "{text}");
+    }
+    a_team_that_does_not_wait_is_not_short => {
+        let [mut gateway, admission] = a_team_that_is_short();
+        gateway.retain(|line| !line.contains(":33."));
+        let (_, text) = shares(&[&gateway.join("\n"), &admission.join("\n")]);
+        assert!(!text.contains("short from"), "{text}");
+    }
     gap_and_use_and_teams_are_added_up_over_all_logs => {
         let (exit, text) = shares(&[SIDE_1, SIDE_2]);
         assert_eq!(exit, Exit::Ok);
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -87,6 +87,8 @@
     ahead_tokens: u32,
     /// Attempts that reached an endpoint.
     attempts: u32,
+    /// Attempts of which no byte was sent, though a place was granted or none was needed.
+    not_sent: u32,
     running: u32,
     load_age_ms: u128,
     candidates: usize,
@@ -129,6 +131,7 @@
 
     /// Writes the line of the request's end.
     pub(crate) fn tell(&self, job: &Job, outcome: &str) {
+        let (prompt_tokens, answer_tokens) = tokens_of(job.prompt.as_ref());
         // Lines of failures are the last ones that are dropped when nobody takes them.
         let level = match outcome {
             "unknown" | "broken_off" | "timed_out" => Level::Warn,
@@ -144,6 +147,8 @@
             cause = self.cause,
             route = job.route.name,
             team = job.outgoing.team.as_deref().unwrap_or("-"),
+            prompt_tokens = prompt_tokens,
+            answer_tokens = answer_tokens,
             endpoints = ids_of(&self.tried),
             refused_by = ids_of(&self.refused),
             fetched_from = self
@@ -152,6 +157,7 @@
             waited_ms = self.waited_ms,
             ahead_tokens = self.ahead_tokens,
             attempts = self.attempts,
+            not_sent = self.not_sent,
             candidates = self.candidates,
             running = self.running,
             load_age_ms = self.load_age_ms,
@@ -164,6 +170,13 @@
     }
 }
 
+/// Returns the tokens of a request's prompt, and the most of its answer; none of a plain one.
+pub(crate) fn tokens_of(prompt: Option<&Prompt>) -> (u32, u32) {
+    prompt.map_or((0, 0), |prompt| {
+        (prompt.prompt_tokens, prompt.max_answer_tokens)
+    })
+}
+
 /// Returns the ids of some endpoints, for a log line.
 fn ids_of(endpoints: &[Arc<Endpoint>]) -> String {
     let ids: SmallVec<[&str; 2]> = endpoints
@@ -206,7 +219,7 @@
 
     /// Sends the request to endpoints until one answers.
     pub(crate) async fn attempts(&self, story: &mut Story, last_event: Option<u64>) -> Tried {
-        let mut not_sent = 0;
+        let not_sent_before = story.not_sent;
         loop {
             if Instant::now() + SHORTEST_ATTEMPT >= self.outgoing.ends_at {
                 return Tried::Refused(story.refusal(NO_ENDPOINT_RETRY));
@@ -256,8 +269,8 @@
                 }
                 Attempt::NotSent => {
                     story.cause = "no connection";
-                    not_sent += 1;
-                    if not_sent >= MAX_NOT_SENT {
+                    story.not_sent += 1;
+                    if story.not_sent - not_sent_before >= MAX_NOT_SENT {
                         return Tried::Refused(story.refusal(NO_ENDPOINT_RETRY));
                     }
                 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -22,7 +22,7 @@
 use crate::fleet::Fleet;
 use crate::gateway::Shared;
 use crate::headers::strip_connection;
-use crate::job::{Job, Story, Tried};
+use crate::job::{Job, Story, Tried, tokens_of};
 use crate::load::Running;
 use crate::pump;
 use crate::refusal::Refusal;
@@ -62,8 +62,7 @@
     let running = match take_place(&gateway, engine.is_some(), team.as_deref()) {
         Ok(running) => running,
         Err(overloaded) => {
-            let refusal = Refusal::Overloaded(overloaded);
-            return refuse_early(&gateway, &fleet, &facts, &parts, refusal);
+            return refuse_overloaded(&gateway, team.as_deref(), &facts, overloaded);
         }
     };
     let job = Arc::new(Job {
@@ -207,32 +206,45 @@
     gateway.metrics.refused(refusal.name());
     let id = facts.request_id.as_deref().unwrap_or("-");
     let status = refusal.status().as_u16();
-    if let Refusal::Overloaded(load) = refusal {
-        info!(
-            Part::Gateway,
-            "Request.",
-            id = id,
-            outcome = refusal.name(),
-            status = status,
-            running = load.running,
-            limit = load.limit,
-            team_running = load.team_running,
-            lag_ms = load.lag.as_millis()
-        );
-    } else {
-        info!(
-            Part::Gateway,
-            "Request.",
-            id = id,
-            outcome = refusal.name(),
-            status = status,
-            path = parts.uri.path(),
-            table = fleet.table_number(),
-            table_age_ms = gateway.held.age().as_millis()
-        );
-    }
+    info!(
+        Part::Gateway,
+        "Request.",
+        id = id,
+        outcome = refusal.name(),
+        status = status,
+        path = parts.uri.path(),
+        table = fleet.table_number(),
+        table_age_ms = gateway.held.age().as_millis()
+    );
+    refusal.response()
+}
+
+/// Refuses a request for which this gateway has no room.
+fn refuse_overloaded(
+    gateway: &Shared,
+    team: Option<&str>,
+    facts: &Facts,
+    overloaded: Overloaded,
+) -> Response<AnswerBody> {
+    let refusal = Refusal::Overloaded(overloaded);
+    gateway.metrics.refused(refusal.name());
+    let (prompt_tokens, answer_tokens) = tokens_of(facts.prompt.as_ref());
+    info!(
+        Part::Gateway,
+        "Request.",
+        id = facts.request_id.as_deref().unwrap_or("-"),
+        outcome = refusal.name(),
+        status = refusal.status().as_u16(),
+        team = team.unwrap_or("-"),
+        prompt_tokens = prompt_tokens,
+        answer_tokens = answer_tokens,
+        running = overloaded.running,
+        limit = overloaded.limit,
+        team_running = overloaded.team_running,
+        lag_ms = overloaded.lag.as_millis()
+    );
     let mut response = refusal.response();
-    if matches!(refusal, Refusal::Overloaded(_)) && gateway.overload().wants_anew() {
+    if gateway.overload().wants_anew() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
