Give a charge back for what a granted request never had

Callers saw a team that waited all through six seconds get 1.79 M tokens of 5.67 M while another one got 4.19 M, after a quarter of the engines had ended.

Cause: an admission charges a team when it grants, and kept the charge whatever became of the request. The admission beside an engine that is gone has room at every moment and grants all that it is asked; each of these places is given back at once for want of a connection, up to four for one request. Whoever asks most pays most, and waits at all other engines for service that it never had.

Why this works: what a request that never began was charged with is taken back, as far as it would still count, but for what its engine read for it, so that callers who leave early still pay for what they used.

Ruled out: that use is forgotten with the engines (the admissions outlive them); a lead that is paid back (bounded before).

--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -63,6 +63,11 @@
 #[derive(Debug)]
 struct Running {
     request_id: Box<str>,
+    team: Box<str>,
+    /// What its team is charged with.
+    service_tokens: u32,
+    /// What the engine has read for it.
+    read_tokens: u32,
     prompt_tokens: u32,
     unread_tokens: u32,
     kv_tokens: u64,
@@ -161,6 +166,7 @@
             self.first_event = (self.first_event * 7 + sample) / 8;
         }
         let tokens = std::mem::take(&mut running.unread_tokens);
+        running.read_tokens += tokens;
         if tokens > 0 {
             self.unread_tokens -= tokens;
             self.pace.read(now, tokens, self.unread_tokens > 0);
@@ -186,7 +192,9 @@
             let left = if run.events > 0 { 0 } else { left };
             // A part that was taken for kept, and is not, shows here first.
             more += left.saturating_sub(running.unread_tokens);
-            read += running.unread_tokens.saturating_sub(left);
+            let read_now = running.unread_tokens.saturating_sub(left);
+            read += read_now;
+            running.read_tokens += read_now;
             running.unread_tokens = left;
             if left == 0 && running.read_at.is_none() {
                 running.read_at = Some(now);
@@ -268,6 +276,9 @@
         let Some(running) = self.running.remove(&id) else {
             return;
         };
+        if !running.has_begun {
+            self.take_back_charge(now, &running);
+        }
         if running.is_given_up {
             self.given_up -= 1;
             return;
@@ -283,6 +294,18 @@
             .touch(own_part(id), running.kv_tokens, self.running_kv);
     }
 
+    /// Charges the team of a request that never began only with what was read for it.
+    ///
+    /// The load pattern: engines end, and the places that are granted before them are given back at once. A team whose shared parts are
+    /// kept there would pay for more than it asks for, and wait at all other engines for service that it never had.
+    fn take_back_charge(&mut self, now: Duration, running: &Running) {
+        let tokens = running.service_tokens.saturating_sub(running.read_tokens);
+        for usage in [&mut self.usage, &mut self.had] {
+            usage.take_back(now, &running.team, tokens, running.granted_at);
+        }
+        self.share_until = Duration::ZERO;
+    }
+
     /// Decides on the asks that wait.
     pub fn decide(&mut self, now: Duration) -> Vec<Decision> {
         self.is_young = now < ASSUME_KEPT && !self.engine_restarted;
@@ -483,6 +506,9 @@
         self.pace.busy(now);
         let running = Running {
             request_id: ask.request_id.clone(),
+            team: ask.team.clone(),
+            service_tokens: ask.service_tokens(),
+            read_tokens: 0,
             prompt_tokens: ask.prompt_tokens,
             unread_tokens,
             kv_tokens,
--- a/crates/admission/src/usage.rs
+++ b/crates/admission/src/usage.rs
@@ -79,6 +79,22 @@
         self.teams.insert(team.into(), used);
     }
 
+    /// Takes tokens off a team's use again that were added at an earlier time.
+    pub(crate) fn take_back(&mut self, now: Duration, team: &str, tokens: u32, since: Duration) {
+        let left = Used {
+            tokens: f64::from(tokens),
+            at: since,
+        }
+        .at(now, self.half_life);
+        let before = self.of(now, team);
+        if let Some(known) = self.teams.get_mut(team) {
+            *known = Used {
+                tokens: (before - left).max(0.0),
+                at: now,
+            };
+        }
+    }
+
     /// Puts a team's use in place of what was counted before.
     pub fn set(&mut self, now: Duration, team: &str, tokens: u64) {
         #[expect(
--- a/crates/admission/tests/queue.rs
+++ b/crates/admission/tests/queue.rs
@@ -529,4 +529,31 @@
         assert!((usage.of(ms(2_000), "a") - 5_000.0).abs() < 1.0);
         assert_eq!(usage.teams(ms(100_000)).count(), 0);
     }
+    a_place_that_is_given_back_unused_costs_its_team_nothing => {
+        let mut admission = Admission::new(RULES);
+        admission.ask(ms(0), 1, ask("a", 3_000, 500));
+        admission.decide(ms(0));
+        assert!((admission.usage().of(ms(0), "a") - 3_100.0).abs() < 1.0);
+        // By then a quarter of the charge has faded away by itself, and the rest is taken back.
+        admission.ended(ms(830), 1);
+        assert!(admission.usage().of(ms(830), "a") < 1.0);
+    }
+    a_request_that_ends_before_it_begins_costs_what_was_read_for_it => {
+        let mut admission = Admission::new(RULES);
+        admission.ask(ms(0), 1, Ask { request_id: "a".into(), ..ask("a", 3_000, 500) });
+        admission.decide(ms(0));
+        let run = Run { request_id: "a".into(), kv_tokens: 1_000, events: 0 };
+        admission.reported(ms(100), &Report { active: 1, runs: vec![run], ..Report::default() });
+        admission.ended(ms(100), 1);
+        let used = admission.usage().of(ms(100), "a");
+        assert!((960.0..1_000.0).contains(&used), "{used}");
+    }
+    a_request_that_began_stays_charged_whole => {
+        let mut admission = Admission::new(RULES);
+        admission.ask(ms(0), 1, ask("a", 3_000, 500));
+        admission.decide(ms(0));
+        admission.began(ms(0), 1);
+        admission.ended(ms(0), 1);
+        assert!((admission.usage().of(ms(0), "a") - 3_100.0).abs() < 1.0);
+    }
 }
