Grant nothing before an engine that is gone

Callers waited or were refused while engines that could serve them had room: the admission beside an engine that has ended goes on, looks empty and grants at once, so that it is the best choice of every gateway. Each grant costs a failed connection, four of which give a request up, and each gateway has to find out by itself, again after every hold.

The report now tells an engine that is gone (nothing listens) from one that is silent. Before the former nothing is granted; verdict and load say so, gateways leave it out, and such a refusal does not count among the two or three admissions that a request may ask. A silent engine is judged by what becomes of its requests, as before.

--- a/crates/admission/src/ask.rs
+++ b/crates/admission/src/ask.rs
@@ -62,9 +62,20 @@
         retry_after: Duration,
         /// Tokens that would be read first.
         ahead_tokens: u32,
+        /// Why it can't.
+        cause: RefusalCause,
     },
 }
 
+/// Says why an ask is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RefusalCause {
+    /// Its turn would come too late.
+    Late,
+    /// The engine is gone.
+    EngineGone,
+}
+
 /// Describes the load.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Load {
@@ -74,6 +85,8 @@
     pub unread_tokens: u32,
     /// Prompt tokens of asks that wait.
     pub waiting_tokens: u32,
+    /// Whether nothing listens at the engine's address.
+    pub engine_is_gone: bool,
 }
 
 impl Ask {
--- a/crates/admission/src/asks.rs
+++ b/crates/admission/src/asks.rs
@@ -13,7 +13,7 @@
 use tokio::sync::mpsc;
 use viz::Body;
 
-use crate::ask::{Ask, AskId, Decision};
+use crate::ask::{Ask, AskId, Decision, RefusalCause};
 use crate::serve::{Shared, load, millis, stopped};
 
 /// Says what a gateway is told of an ask.
@@ -196,11 +196,16 @@
         Decision::Refuse {
             retry_after,
             ahead_tokens,
+            cause,
             ..
         } => info!(
             Part::Admission,
             "Refused.",
             id = ask.request_id,
+            cause = match cause {
+                RefusalCause::Late => "late",
+                RefusalCause::EngineGone => "engine_gone",
+            },
             team = ask.team,
             rank = ask.rank,
             elsewhere_tokens = ask.elsewhere_tokens,
--- a/crates/admission/src/engine.rs
+++ b/crates/admission/src/engine.rs
@@ -28,8 +28,19 @@
     pub runs: Vec<Run>,
 }
 
+/// Says what became of a question to an engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Answer {
+    /// It answered.
+    Report(Report),
+    /// Nothing listens at its address.
+    Gone,
+    /// There is no answer, which does not tell whether it runs.
+    Silent,
+}
+
 /// Asks an engine; the admission's edge towards the wire.
 pub trait Engine: Send + Sync + 'static {
-    /// Returns what the engine does now; none when it does not answer.
-    fn report(&self) -> impl Future<Output = Option<Report>> + Send;
+    /// Asks what the engine does now.
+    fn report(&self) -> impl Future<Output = Answer> + Send;
 }
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -15,9 +15,9 @@
 mod turn;
 mod usage;
 
-pub use ask::{Ask, AskId, Decision, Load, Rules};
+pub use ask::{Ask, AskId, Decision, Load, RefusalCause, Rules};
 pub use cache::Cache;
-pub use engine::{Engine, Report, Run};
+pub use engine::{Answer, Engine, Report, Run};
 pub use pace::Pace;
 pub use queue::Admission;
 pub use serve::{ASKS_PATH, LOAD_PATH, Server};
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -10,7 +10,7 @@
 
 use smallvec::SmallVec;
 
-use crate::ask::{Ask, AskId, Decision, Load, Rules};
+use crate::ask::{Ask, AskId, Decision, Load, RefusalCause, Rules};
 use crate::cache::Cache;
 use crate::engine::{Report, Run};
 use crate::order::{Claim, Waiting, order_of};
@@ -60,6 +60,9 @@
 /// Shortest time after which a caller is asked to come back; a few requests are read in it.
 pub const SHORTEST_RETRY: Duration = Duration::from_millis(100);
 
+/// When a caller may come back to an engine that is gone; a restart takes a second or more.
+const GONE_RETRY: Duration = Duration::from_millis(500);
+
 #[derive(Debug)]
 struct Running {
     request_id: Box<str>,
@@ -94,6 +97,8 @@
     is_young: bool,
     /// When the engine has started that was reported last.
     engine_born_unix_ms: Option<u64>,
+    /// Whether nothing listens at the engine's address, as far as is known.
+    engine_is_gone: bool,
     /// Whether the engine has started again beside this queue, so that it keeps nothing that this queue does not know.
     engine_restarted: bool,
     cache: Cache,
@@ -130,6 +135,7 @@
             running_kv: 0,
             is_young: true,
             engine_born_unix_ms: None,
+            engine_is_gone: false,
             engine_restarted: false,
             pace: Pace::new(),
             first_event: FIRST_EVENT,
@@ -175,6 +181,7 @@
 
     /// Takes in what the engine reports: how far each prompt is read.
     pub fn reported(&mut self, now: Duration, report: &Report) {
+        self.engine_is_gone = false;
         self.note_birth(now, report.born_unix_ms);
         if let Some(kv_tokens) = report.kv_total_tokens.filter(|tokens| *tokens > 0) {
             self.rules.kv_tokens = kv_tokens;
@@ -265,11 +272,21 @@
 
     /// Notes that the engine did not report; the answers tell how far it is until it does.
     pub fn not_reported(&mut self) {
+        self.engine_is_gone = false;
         for running in self.running.values_mut() {
             running.read_at = None;
         }
     }
 
+    /// Notes that nothing listens at the engine's address: nothing is granted until it answers or is silent.
+    ///
+    /// The load pattern: engines end under load while their admissions go on. An empty engine is the best choice of every gateway, so
+    /// a queue that went on granting would draw a large part of all requests to where no connection can be had.
+    pub fn engine_gone(&mut self) {
+        self.not_reported();
+        self.engine_is_gone = true;
+    }
+
     /// Notes that a request has ended, or that its caller no longer waits.
     pub fn ended(&mut self, now: Duration, id: AskId) {
         self.waiting.retain(|waiting| waiting.id != id);
@@ -309,6 +326,9 @@
     /// Decides on the asks that wait.
     pub fn decide(&mut self, now: Duration) -> Vec<Decision> {
         self.is_young = now < ASSUME_KEPT && !self.engine_restarted;
+        if self.engine_is_gone {
+            return self.refuse_all();
+        }
         let mut decisions = Vec::new();
         self.turn_away(now, &mut decisions);
         while self.has_room() {
@@ -331,6 +351,7 @@
             waiting_tokens: waiting
                 .map(|waiting| self.tokens_to_read(&waiting.ask))
                 .sum(),
+            engine_is_gone: self.engine_is_gone,
         }
     }
 
@@ -439,10 +460,22 @@
                 id,
                 retry_after: drained,
                 ahead_tokens: u32::try_from(ahead).unwrap_or(u32::MAX),
+                cause: RefusalCause::Late,
             });
         }
     }
 
+    /// Refuses all asks, since the engine is gone.
+    fn refuse_all(&mut self) -> Vec<Decision> {
+        let refused = self.waiting.drain(..).map(|waiting| Decision::Refuse {
+            id: waiting.id,
+            retry_after: GONE_RETRY,
+            ahead_tokens: 0,
+            cause: RefusalCause::EngineGone,
+        });
+        refused.collect()
+    }
+
     /// Returns what a team has used lately, here and at the other engines.
     fn used(&self, now: Duration, team: &str) -> f64 {
         self.usage.of(now, team) + self.elsewhere.of(now, team)
--- a/crates/admission/src/serve.rs
+++ b/crates/admission/src/serve.rs
@@ -19,7 +19,7 @@
 
 use crate::ask::{Ask, AskId, Decision, Rules};
 use crate::asks::{self, Asker, News};
-use crate::engine::{Engine, Report};
+use crate::engine::{Answer, Engine, Report};
 use crate::queue::Admission;
 
 /// Path of the exchange that carries the asks of one gateway for places.
@@ -243,26 +243,35 @@
 async fn follow_engine(engine: impl Engine, report_interval: Duration, shared: Arc<Shared>) {
     let mut ticks = interval(report_interval);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut answers = true;
+    let mut state_before = "answers";
     let mut told_at = Instant::now();
     loop {
         ticks.tick().await;
-        let report = engine.report().await;
-        if let Some(report) = report.as_ref().filter(|_| told_at.elapsed() >= TELL_EVERY) {
+        let answer = engine.report().await;
+        if let Answer::Report(report) = &answer
+            && told_at.elapsed() >= TELL_EVERY
+        {
             told_at = Instant::now();
             tell_engine(&shared, report);
         }
-        if report.is_some() != answers {
-            answers = !answers;
+        let engine_state = match answer {
+            Answer::Report(_) => "answers",
+            Answer::Gone => "gone",
+            Answer::Silent => "silent",
+        };
+        if engine_state != state_before {
             info!(
                 Part::Admission,
                 "The engine's answers have changed.",
-                answers = answers
+                engine = engine_state,
+                before = state_before
             );
+            state_before = engine_state;
         }
-        shared.change(|state, now| match &report {
-            Some(report) => state.admission.reported(now, report),
-            None => state.admission.not_reported(),
+        shared.change(|state, now| match &answer {
+            Answer::Report(report) => state.admission.reported(now, report),
+            Answer::Gone => state.admission.engine_gone(),
+            Answer::Silent => state.admission.not_reported(),
         });
     }
 }
@@ -352,6 +361,7 @@
                 tokens: tokens as u64,
             })
             .collect(),
+        engine_is_gone: load.engine_is_gone.then_some(true),
     }
 }
 
--- a/crates/admission/tests/queue.rs
+++ b/crates/admission/tests/queue.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use hinge_admission::{Admission, Ask, AskId, Cache, Decision, Report, Rules, Run, Usage};
+use hinge_admission::{
+    Admission, Ask, AskId, Cache, Decision, RefusalCause, Report, Rules, Run, Usage,
+};
 use hinge_cases::cases;
 
 const RULES: Rules = Rules {
@@ -556,4 +558,25 @@
         admission.ended(ms(0), 1);
         assert!((admission.usage().of(ms(0), "a") - 3_100.0).abs() < 1.0);
     }
+    an_engine_that_is_gone_is_granted_nothing => {
+        let mut admission = Admission::new(RULES);
+        admission.ask(ms(0), 1, ask("a", 4_000, 500));
+        admission.decide(ms(0));
+        admission.ask(ms(0), 2, ask("b", 1_000, 500));
+        assert!(admission.decide(ms(0)).is_empty(), "it waits");
+        admission.engine_gone();
+        admission.ask(ms(10), 3, ask("c", 1_000, 500));
+        let refused = admission.decide(ms(10));
+        let gone = |decision: &Decision| matches!(decision, Decision::Refuse { cause: RefusalCause::EngineGone, .. });
+        assert_eq!((refused.len(), refused.iter().all(gone)), (2, true), "{refused:?}");
+        assert!(admission.load().engine_is_gone);
+        // One that is only silent may run on.
+        admission.not_reported();
+        assert!(!admission.load().engine_is_gone);
+        admission.engine_gone();
+        admission.reported(ms(20), &Report::default());
+        admission.ended(ms(20), 1);
+        admission.ask(ms(20), 4, ask("d", 1_000, 500));
+        assert!(matches!(admission.decide(ms(20))[..], [Decision::Grant { id: 4, .. }]));
+    }
 }
--- a/crates/admission/tests/serve.rs
+++ b/crates/admission/tests/serve.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use hinge_admission::{ASKS_PATH, Engine, Report, Rules, Server};
+use hinge_admission::{ASKS_PATH, Answer, Engine, Report, Rules, Server};
 use hinge_cases::async_cases;
 use hinge_link::{Client, ClusterKey, Exchange};
 use hinge_schema::routing::{AdmitAsk, AdmitVerdict, AskNumber, FromAdmission, ToAdmission};
@@ -21,8 +21,8 @@
 struct Idle;
 
 impl Engine for Idle {
-    async fn report(&self) -> Option<Report> {
-        Some(Report::default())
+    async fn report(&self) -> Answer {
+        Answer::Report(Report::default())
     }
 }
 
@@ -30,8 +30,8 @@
 struct Silent;
 
 impl Engine for Silent {
-    async fn report(&self) -> Option<Report> {
-        None
+    async fn report(&self) -> Answer {
+        Answer::Silent
     }
 }
 
--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -62,6 +62,8 @@
     Unasked,
     /// The request can't be on time.
     Refused { retry_after: Duration },
+    /// The engine is gone, so that nothing is granted there.
+    EngineGone,
 }
 
 /// Holds a granted place.
@@ -120,6 +122,9 @@
             return Admitted::Unasked;
         };
         endpoint.saw_engine_load(&verdict.load);
+        if !verdict.granted && verdict.load.engine_is_gone == Some(true) {
+            return Admitted::EngineGone;
+        }
         if !verdict.granted {
             let retry_after = Duration::from_millis(verdict.retry_after_ms);
             return Admitted::Refused { retry_after };
--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -41,6 +41,16 @@
     since_engine: u32,
 }
 
+impl Known {
+    /// Returns whether the admission beside it said lately that its engine is gone.
+    fn engine_is_gone(&self) -> bool {
+        let told = self.engine.as_ref();
+        told.is_some_and(|(load, told_at)| {
+            load.engine_is_gone == Some(true) && told_at.elapsed() < LOAD_AGE
+        })
+    }
+}
+
 /// Holds one endpoint.
 #[derive(Debug)]
 pub(crate) struct Endpoint {
@@ -113,7 +123,10 @@
 
     /// Returns whether it may be sent a request now.
     pub(crate) fn is_open(&self) -> bool {
-        !self.is_draining() && self.lock().standing.is_open(self.began.elapsed())
+        let known = self.lock();
+        !self.is_draining()
+            && !known.engine_is_gone()
+            && known.standing.is_open(self.began.elapsed())
     }
 
     pub(crate) fn is_in(&self, data_center: &str) -> bool {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -29,6 +29,9 @@
 /// Connections that are tried for one request without a byte being sent; they cost nothing but time.
 const MAX_NOT_SENT: u32 = 4;
 
+/// Admissions that may say for one request that their engine is gone; each costs a round trip.
+const MAX_GONE: usize = 4;
+
 /// When a caller may come back if no endpoint takes work: a restart takes seconds, and a failed connection is tried
 /// again after half a second.
 const NO_ENDPOINT_RETRY: Duration = Duration::from_millis(500);
@@ -79,6 +82,8 @@
     tried: SmallVec<[Arc<Endpoint>; 2]>,
     /// Endpoints whose admission has refused.
     refused: SmallVec<[Arc<Endpoint>; 2]>,
+    /// Endpoints whose admission said that its engine is gone.
+    gone: SmallVec<[Arc<Endpoint>; 2]>,
     /// When the first admission that refused expects room.
     retry_after: Option<Duration>,
     /// Engine from which the last one that was sent the request copies the shared parts.
@@ -151,6 +156,7 @@
             answer_tokens = answer_tokens,
             endpoints = ids_of(&self.tried),
             refused_by = ids_of(&self.refused),
+            gone = ids_of(&self.gone),
             fetched_from = self
                 .fetched_from
                 .map_or_else(String::new, |from| from.to_string()),
@@ -235,6 +241,14 @@
                     Some(place)
                 }
                 Admitted::Unasked => None,
+                Admitted::EngineGone => {
+                    story.cause = "the engine is gone";
+                    story.gone.push(endpoint);
+                    if story.gone.len() >= MAX_GONE {
+                        return Tried::Refused(story.refusal(NO_ENDPOINT_RETRY));
+                    }
+                    continue;
+                }
                 Admitted::Refused { retry_after } => {
                     story.cause = "the admission refused";
                     story.refused.push(Arc::clone(&endpoint));
@@ -449,7 +463,7 @@
             .filter(|endpoint| !endpoint.is_draining())
             .collect();
         let is_new = |endpoint: &Arc<Endpoint>| {
-            let mut known = story.tried.iter().chain(&story.refused);
+            let mut known = story.tried.iter().chain(&story.refused).chain(&story.gone);
             !known.any(|known| Arc::ptr_eq(known, endpoint))
         };
         let open = listed.iter().filter(|endpoint| endpoint.is_open());
