Probe for free addresses with a socket that does not listen

The probe for a free address listened for a moment; a child that a parallel test starts holds a copy of the socket until its exec, and a listening copy keeps everybody else from the address. A socket that is bound with SO_REUSEADDR and does not listen keeps nobody from it who sets the same, and the reload tests now hold theirs for as long as they run.

The failure itself was not brought about again before the change; it follows from the mechanism.

--- a/crates/daemon/tests/processes/fleet.rs
+++ b/crates/daemon/tests/processes/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write as _;
 use std::fs;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU16, AtomicU32, Ordering};
@@ -15,6 +15,7 @@
 
 use crate::operator::Operator;
 use crate::process::{self, LONGEST_STEP, Process};
+use crate::reserve::reserve;
 
 /// Below the ports that the system gives out by itself.
 const FIRST_PORT: u16 = 10_000;
@@ -215,8 +216,9 @@
     fn free_address(&self) -> SocketAddr {
         loop {
             let port = self.next_port.fetch_add(1, Ordering::Relaxed);
-            if TcpListener::bind((self.host, port)).is_ok() {
-                return SocketAddr::from((self.host, port));
+            let address = SocketAddr::from((self.host, port));
+            if reserve(address).is_ok() {
+                return address;
             }
         }
     }
--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -15,5 +15,6 @@
 mod operator;
 mod process;
 mod reload;
+mod reserve;
 mod started;
 mod whole_path;
--- a/crates/daemon/tests/processes/reload.rs
+++ b/crates/daemon/tests/processes/reload.rs
@@ -1,15 +1,19 @@
 //! Checks that changed settings are read again, and that three control instances found a fleet from addresses alone.
 
 use std::fs;
+use std::net::SocketAddr;
 
 use hinge_cases::async_cases;
+use tokio::net::TcpSocket;
 
 use crate::process::{self, Process};
+use crate::reserve::reserve;
 
-/// Returns a loopback address that was free a moment ago.
-fn free_address() -> String {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    listener.local_addr().expect("it is bound").to_string()
+/// Reserves a loopback address for as long as the socket is held.
+fn reserve_address() -> (TcpSocket, String) {
+    let socket = reserve(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port is free");
+    let address = socket.local_addr().expect("it is bound").to_string();
+    (socket, address)
 }
 
 const HEAD: &str =
@@ -36,7 +40,7 @@
     }
     control_instances_found_a_fleet_from_addresses_alone => {
         let folder = tempfile::tempdir().expect("a folder can be made");
-        let addresses: Vec<String> = (0..3).map(|_| free_address()).collect();
+        let (_reserved, addresses): (Vec<TcpSocket>, Vec<String>) = (0..3).map(|_| reserve_address()).unzip();
         let founders = addresses.iter().map(|address| format!("\"{address}\"")).collect::<Vec<_>>().join(", ");
         let start = |number: usize, folder_name: &str, bootstrap: bool| {
             let path = folder.path().join(format!("control-{number}.toml"));
