Let a team that had less than another one ask at a second engine that is not idle

Cause: a second engine was asked only if it was nearly idle, unless the team had less than a quarter of the most. Where all are busy there is none, so between a quarter and the promised half nothing was done for it; the queues, which put a team with less use first, never saw its asks.

Change: below three quarters, the part below which queues let asks stay longer, the second engine may have as much before it as it reads in time.

Ruled out in the model: use that is forgotten with engines that left the list.

--- a/crates/admission/tests/model/mod.rs
+++ b/crates/admission/tests/model/mod.rs
@@ -6,7 +6,8 @@
 use std::ops::Range;
 use std::time::Duration;
 
-use hinge_admission::{Admission, Ask, AskId, Decision, Report, Rules};
+use hinge_admission::{Admission, Ask, AskId, Decision, RefusalCause, Report, Rules};
+use hinge_routing::Lag;
 
 const RULES: Rules = Rules {
     max_unread_tokens: 1_000,
@@ -42,8 +43,9 @@
 /// Connections that a gateway tries for one request.
 const MAX_NOT_SENT: usize = 4;
 
-/// Engines that a gateway asks for one request and that refuse.
-const MAX_REFUSED: usize = 2;
+/// Prompt tokens that make an engine nearly idle, and those that it reads in time.
+const IDLE_TOKENS: u32 = 3_000;
+const READABLE_TOKENS: u32 = 12_500;
 
 fn ms(time_ms: u64) -> Duration {
     Duration::from_millis(time_ms)
@@ -67,12 +69,16 @@
     pub engines: Range<usize>,
     pub at_ms: u64,
     pub until_ms: u64,
+    /// Whether their admissions notice that nothing listens; otherwise they take them for silent.
+    pub is_noticed: bool,
 }
 
 struct Engine {
     admission: Admission,
     born_unix_ms: u64,
     answers: bool,
+    /// Whether its admission can tell that it is gone.
+    is_noticed: bool,
     reading: VecDeque<(AskId, u32)>,
     answering: VecDeque<(AskId, u64)>,
     /// What the teams have used here, as it was told last.
@@ -91,6 +97,7 @@
     /// Engines that were asked, the last one last.
     tried: Vec<usize>,
     refused: usize,
+    gone: usize,
     not_sent: usize,
 }
 
@@ -117,6 +124,7 @@
             admission: Admission::new(RULES),
             born_unix_ms: 1,
             answers: true,
+            is_noticed: false,
             reading: VecDeque::new(),
             answering: VecDeque::new(),
             told: BTreeMap::new(),
@@ -152,6 +160,7 @@
             came_ms: self.now_ms,
             tried: vec![first],
             refused: 0,
+            gone: 0,
             not_sent: 0,
         };
         self.requested
@@ -163,8 +172,18 @@
     /// Asks for a request at an engine that was not asked yet, as a gateway does; gives it up where too many were.
     fn ask_elsewhere(&mut self, id: AskId) {
         let request = &self.requests[&id];
-        let may_ask = request.refused < MAX_REFUSED && request.not_sent < MAX_NOT_SENT;
-        let next = self.least_loaded(&request.tried).filter(|_| may_ask);
+        let lag = self.lag(&request.team);
+        let may_ask = request.refused < lag.max_asked()
+            && request.gone < MAX_NOT_SENT
+            && request.not_sent < MAX_NOT_SENT;
+        let most = if request.refused > 0 {
+            lag.max_unread_tokens(IDLE_TOKENS, READABLE_TOKENS)
+        } else {
+            u32::MAX
+        };
+        let next = self
+            .least_loaded(&request.tried)
+            .filter(|place| may_ask && self.tokens_before(*place) <= most);
         match next {
             Some(place) => {
                 let request = self.requests.get_mut(&id).expect("it was just looked at");
@@ -175,11 +194,27 @@
         }
     }
 
+    /// Compares what teams have used at all engines, as gateways are told.
+    fn lag(&self, team: &str) -> Lag {
+        let mut uses: BTreeMap<&str, u64> = BTreeMap::new();
+        for (team, tokens) in self.engines.iter().flat_map(|engine| &engine.told) {
+            *uses.entry(team).or_default() += tokens;
+        }
+        let most = uses.values().copied().max().unwrap_or_default();
+        Lag::of(uses.get(team).copied().unwrap_or_default(), most)
+    }
+
+    fn tokens_before(&self, place: usize) -> u32 {
+        let load = self.engines[place].admission.load();
+        load.unread_tokens + load.waiting_tokens
+    }
+
     fn least_loaded(&self, except: &[usize]) -> Option<usize> {
-        let others = (0..ENGINES).filter(|place| !except.contains(place));
+        let is_gone = |place: usize| self.engines[place].admission.load().engine_is_gone;
+        let others = (0..ENGINES).filter(|place| !except.contains(place) && !is_gone(*place));
         others.min_by_key(|place| {
-            let load = self.engines[*place].admission.load();
-            (load.unread_tokens + load.waiting_tokens, load.running)
+            let running = self.engines[*place].admission.load().running;
+            (self.tokens_before(*place), running)
         })
     }
 
@@ -206,9 +241,12 @@
         for decision in self.engines[place].admission.decide(now) {
             match decision {
                 Decision::Grant { id, .. } => self.granted(id, place),
-                Decision::Refuse { id, .. } => {
+                Decision::Refuse { id, cause, .. } => {
                     let request = self.requests.get_mut(&id).expect("it was asked for");
-                    request.refused += 1;
+                    match cause {
+                        RefusalCause::Late => request.refused += 1,
+                        RefusalCause::EngineGone => request.gone += 1,
+                    }
                     self.ask_elsewhere(id);
                 }
             }
@@ -275,7 +313,11 @@
     fn report(&mut self, place: usize) {
         let engine = &mut self.engines[place];
         if !engine.answers {
-            engine.admission.not_reported();
+            if engine.is_noticed {
+                engine.admission.engine_gone();
+            } else {
+                engine.admission.not_reported();
+            }
             return;
         }
         let report = Report {
@@ -306,6 +348,7 @@
         for engine in &mut self.engines[outage.engines.clone()] {
             if self.now_ms == outage.at_ms {
                 engine.answers = false;
+                engine.is_noticed = outage.is_noticed;
                 let reading = engine.reading.drain(..).map(|(id, _)| id);
                 let running = reading.chain(engine.answering.drain(..).map(|(id, _)| id));
                 for id in running {
--- a/crates/admission/tests/several.rs
+++ b/crates/admission/tests/several.rs
@@ -49,16 +49,41 @@
     ),
 }
 
+fn shares_of_what_is_asked_hold((teams, until_ms): (&[Hot], u64)) {
+    let world = World::play(teams, &[], until_ms);
+    world.check_owed(teams, 5_000);
+}
+
 /// Replays a load while a quarter of the engines is gone for two seconds: their admissions still answer, and their gateways find no
 /// connection.
 fn shares_hold_in_an_outage((teams, until_ms): (&[Hot], u64)) {
-    let outage = Outage {
-        engines: 0..3,
-        at_ms: 5_000,
-        until_ms: 7_000,
-    };
-    let world = World::play(teams, &[outage], until_ms);
-    world.check_owed(teams, 1_000);
+    for is_noticed in [false, true] {
+        let outage = Outage {
+            engines: 0..3,
+            at_ms: 5_000,
+            until_ms: 7_000,
+            is_noticed,
+        };
+        let world = World::play(teams, &[outage], until_ms);
+        world.check_owed(teams, 1_000);
+    }
+}
+
+cases! { shares_of_what_is_asked_hold:
+    a_team_that_asks_seldom_is_not_refused_for_good_by_one_engine => (
+        &[
+            hot("seldom", 0, 40, 4_000),
+            hot("often", 5_000, 4, 3_000),
+            hot("third", 0, 9, 3_000),
+            hot("fourth", 0, 11, 3_500),
+            hot("fifth", 0, 13, 4_000),
+        ],
+        12_000,
+    ),
+    a_team_that_asks_seldom_beside_one_that_asks_often => (
+        &[hot("seldom", 0, 13, 4_000), hot("often", 5_000, 3, 3_000)],
+        12_000,
+    ),
 }
 
 /// Returns five hot teams, of which the first one asks most often.
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use hinge_routing::{
-    Candidate, Holders, Prompt, Source, choose, choose_idle, copy_time, fetch_source,
+    Candidate, Holders, Lag, Prompt, Source, choose, choose_idle, copy_time, fetch_source,
 };
 use hinge_schema::routing::{AdmitAsk, Engine, Route};
 use hinge_telemetry::log::{Level, Part};
@@ -36,12 +36,6 @@
 /// again after half a second.
 const NO_ENDPOINT_RETRY: Duration = Duration::from_millis(500);
 
-/// Admissions that are asked for one request: the best one, and one that is nearly idle.
-const MAX_ASKED: usize = 2;
-
-/// Admissions that are asked for a request of a team that is behind.
-const MAX_ASKED_BEHIND: usize = 3;
-
 /// Rank of a stream that goes on; those of the table come after it.
 const FIRST_RANK: u32 = 0;
 
@@ -253,12 +247,7 @@
                     story.cause = "the admission refused";
                     story.refused.push(Arc::clone(&endpoint));
                     story.retry_after = Some(retry_after);
-                    let max_asked = if self.is_behind() {
-                        MAX_ASKED_BEHIND
-                    } else {
-                        MAX_ASKED
-                    };
-                    if story.refused.len() < max_asked {
+                    if story.refused.len() < self.lag().max_asked() {
                         continue;
                     }
                     return Tried::Refused(story.refusal(retry_after));
@@ -320,10 +309,10 @@
         everywhere.saturating_sub(endpoint.used_by(team))
     }
 
-    /// Returns whether the request's team has used much less lately than the one with the most.
-    fn is_behind(&self) -> bool {
+    /// Returns how far the use of the request's team lags behind that of the team with the most.
+    fn lag(&self) -> Lag {
         let team = self.outgoing.team.as_deref();
-        team.is_some_and(|team| self.teams().is_behind(team))
+        team.map_or(Lag::Even, |team| self.teams().lag_of(team))
     }
 
     fn teams(&self) -> Arc<Teams> {
@@ -486,13 +475,9 @@
         let prompt = self.prompt.as_ref().filter(|_| self.route.prompts);
         let (far_bytes, draw) = (self.far_bytes(), rand::random());
         let was_refused = !story.refused.is_empty();
-        let is_behind = was_refused && self.is_behind();
-        let most = if is_behind {
-            self.readable_in_time().max(self.gateway.max_spill_tokens)
-        } else {
-            self.gateway.max_spill_tokens
-        };
-        let place = if is_behind {
+        let lag = if was_refused { self.lag() } else { Lag::Even };
+        let most = lag.max_unread_tokens(self.gateway.max_spill_tokens, self.readable_in_time());
+        let place = if lag > Lag::Even {
             choose_idle(&candidates, prompt, far_bytes, rules, most, draw)
         } else {
             choose(&candidates, prompt, far_bytes, rules, draw)
--- a/crates/gateway/src/teams.rs
+++ b/crates/gateway/src/teams.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hinge_routing::Lag;
 use tokio::time::Instant;
 
 use crate::endpoint::Endpoint;
@@ -11,10 +12,6 @@
 /// Time for which the sums are used; admissions tell the use of the teams about once a second.
 const KEEP: Duration = Duration::from_millis(200);
 
-/// Times that a team must have used less than the one with the most to be behind. At two times the parts that were read anew cost
-/// 0.008 of the worth in the mean of eight days; teams that were kept from more than half of what they asked for had had a ninth.
-const FAR_LESS: u64 = 4;
-
 /// Holds what each team has used lately at all endpoints of a service, in tokens.
 #[derive(Debug)]
 pub(crate) struct Teams {
@@ -50,8 +47,8 @@
         self.used.get(team).copied().unwrap_or_default()
     }
 
-    /// Returns whether a team has used far less than the one with the most.
-    pub(crate) fn is_behind(&self, team: &str) -> bool {
-        self.used_by(team) < self.most / FAR_LESS
+    /// Returns how far a team's use lags behind that of the team with the most.
+    pub(crate) fn lag_of(&self, team: &str) -> Lag {
+        Lag::of(self.used_by(team), self.most)
     }
 }
--- /dev/null
+++ b/crates/routing/src/lag.rs
@@ -0,0 +1,63 @@
+//! Decides how far a request that an admission refused may look for another engine, by what its team has had.
+//!
+//! The load pattern: engines have more before them than they read in time, and at every moment some place is free. Whoever asks at
+//! more engines finds it more often, and who asks at one, where its shared parts are kept, hardly ever. A request of a team that has had
+//! less than another one therefore asks at engines that are not idle as well: there it is put before the other team's.
+
+/// Says how far a team's use lags behind that of the team with the most.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Lag {
+    /// It has had about as much.
+    Even,
+    /// It has had so much less that the queues before engines put it first.
+    Behind,
+    /// It has had a small part of it.
+    FarBehind,
+}
+
+/// Part of the most use below which a team is behind, in thousandths: that below which a queue lets its asks stay for longer.
+const BEHIND_PERMILLE: u128 = 750;
+
+/// Part below which it is far behind, in thousandths.
+const FAR_BEHIND_PERMILLE: u128 = 250;
+
+/// Admissions that are asked for one request: the best one, and another one.
+const MAX_ASKED: usize = 2;
+
+/// Admissions that are asked for a request of a team that is far behind.
+const MAX_ASKED_FAR_BEHIND: usize = 3;
+
+impl Lag {
+    /// Compares a team's use with that of the team with the most.
+    #[must_use]
+    pub fn of(used_tokens: u64, most_tokens: u64) -> Self {
+        let used = u128::from(used_tokens) * 1000;
+        let most = u128::from(most_tokens);
+        if used < most * FAR_BEHIND_PERMILLE {
+            Self::FarBehind
+        } else if used < most * BEHIND_PERMILLE {
+            Self::Behind
+        } else {
+            Self::Even
+        }
+    }
+
+    /// Returns how many admissions may be asked for a request.
+    #[must_use]
+    pub fn max_asked(self) -> usize {
+        match self {
+            Self::Even | Self::Behind => MAX_ASKED,
+            Self::FarBehind => MAX_ASKED_FAR_BEHIND,
+        }
+    }
+
+    /// Returns how many prompt tokens an engine may have before it to be asked after another one refused: as many as make it nearly
+    /// idle, or as many as it reads in time.
+    #[must_use]
+    pub fn max_unread_tokens(self, idle_tokens: u32, readable_tokens: u32) -> u32 {
+        match self {
+            Self::Even => idle_tokens,
+            Self::Behind | Self::FarBehind => idle_tokens.max(readable_tokens),
+        }
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -2,8 +2,9 @@
 //!
 //! [`Lookup`] finds the route and the team of a request. [`choose`] ranks the endpoints that may take it. [`Budget`]
 //! bounds how often requests are sent a second time, and [`Standing`] keeps endpoints out that fail. [`load_interval`]
-//! says how often a gateway wants to hear of their loads, [`KeptParts`] and [`fetch_source`] where the parts of a prompt are kept, and [`Overload`] which requests it turns away because it is
-//! itself too busy. [`Targets`] names the control instances that it asks.
+//! says how often a gateway wants to hear of their loads, [`KeptParts`] and [`fetch_source`] where the parts of a prompt are kept,
+//! [`Lag`] where a refused request may still ask, and [`Overload`] which requests a gateway turns away because it is itself too busy.
+//! [`Targets`] names the control instances that it asks.
 
 mod budget;
 mod check;
@@ -11,6 +12,7 @@
 mod feed;
 mod fetch;
 mod kept;
+mod lag;
 mod lookup;
 mod overload;
 mod standing;
@@ -22,6 +24,7 @@
 pub use feed::load_interval;
 pub use fetch::{Source, copy_time, fetch_source};
 pub use kept::{Holders, IncarnationHash, KeptParts};
+pub use lag::Lag;
 pub use lookup::Lookup;
 pub use overload::{Overload, OverloadRules, Overloaded};
 pub use standing::{Standing, StandingRules};
