Count an answer that comes whole as begun

A team is charged for what begins; an answer that is not passed on in pieces told its admission nothing, so that its charge would be given back. The new case waits for the word and never got it before.

--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -301,7 +301,7 @@
         self.endpoint.drain();
     }
 
-    /// Notes that the first piece of the answer has come.
+    /// Notes that the first piece of the answer has come, or all of one that is not passed on in pieces.
     pub(crate) fn began(&self) {
         if let Some(place) = &self.place {
             place.began();
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -303,6 +303,9 @@
         body = read_whole(body, job.outgoing.ends_at) => body?,
         _cause = in_use.lost(job.outgoing.may_go_on) => return Err(NotWhole::Broken),
     };
+    if head.status.is_success() {
+        in_use.began();
+    }
     drop(in_use);
     connection.keep();
     strip_connection(&mut head.headers);
