--- a/crates/admission/tests/several.rs
+++ b/crates/admission/tests/several.rs
@@ -106,6 +106,10 @@
         &[&hot_teams()[..], &[Hot { homes: 0..3, ..hot("at-home", 0, 25, 4_000) }]].concat(),
         12_000,
     ),
+    a_team_all_of_whose_requests_come_to_one_engine_first => (
+        &[&[Hot { homes: 0..1, ..hot("at-home", 0, 40, 4_000) }], &hot_teams()[..]].concat(),
+        13_000,
+    ),
     a_team_whose_parts_are_kept_by_engines_that_stay => (
         &[&hot_teams()[..], &[Hot { homes: 3..6, ..hot("at-home", 0, 25, 4_000) }]].concat(),
         12_000,
