--- a/crates/ctl/src/stages.rs
+++ b/crates/ctl/src/stages.rs
@@ -21,8 +21,10 @@
 /// Largest requests of a team that don't count when it is compared.
 const SLACK_REQUESTS: u64 = 3;
 
-/// Sentence of the line that ends a request at a gateway, and the outcome of one that it had no room for.
+/// Sentence of the line that ends a request at a gateway.
 const END: &str = "Request.";
+
+/// Outcome of a request that a gateway had no room for.
 const OVERLOADED: &str = "overloaded";
 
 /// Holds what became of one team's requests in one second, in tokens of service.
@@ -33,7 +35,7 @@
     pub(crate) asked_tokens: u64,
     /// Turned away by a gateway that had no room.
     pub(crate) overloaded_tokens: u64,
-    /// Refused by admissions and not begun elsewhere.
+    /// Ended without a first piece for any other reason: refused by admissions, failed, or left by the caller.
     pub(crate) not_run_tokens: u64,
     /// Granted by admissions.
     pub(crate) granted_tokens: u64,
@@ -124,28 +126,19 @@
     }
 
     fn short_from(&self, from_s: u64) -> Vec<Short> {
-        let begun = |team: &Team| team.sum(from_s).begun_tokens;
-        let best = self.teams.iter().max_by_key(|(_, team)| begun(team));
+        let teams = self.teams.iter();
+        let best = teams.max_by_key(|(_, team)| team.sum(from_s).begun_tokens);
         let Some((best_name, best)) = best else {
             return Vec::new();
         };
-        let short = self.teams.iter().filter(|(_, team)| {
-            let could_have_had: u64 = (from_s..from_s + WINDOW_S)
-                .map(|second| {
-                    let asked = team.at(second).asked_tokens;
-                    asked.min(best.at(second).begun_tokens)
-                })
-                .sum();
-            let slack = SLACK_REQUESTS * team.largest_tokens;
-            let had = begun(team) + slack;
-            team.waits_throughout(from_s) && had < could_have_had / SHORT_DIVISOR
-        });
+        let teams = self.teams.iter();
+        let short = teams.filter(|(_, team)| team.is_short(best, from_s));
         let short = short.map(|(name, team)| Short {
             from_s,
             team: name.clone(),
             stages: team.sum(from_s),
             best: best_name.clone(),
-            best_begun_tokens: begun(best),
+            best_begun_tokens: best.sum(from_s).begun_tokens,
         });
         short.collect()
     }
@@ -156,6 +149,18 @@
         self.seconds.get(&second).copied().unwrap_or_default()
     }
 
+    /// Returns whether it waited and had far less than it could have had beside the best served team.
+    fn is_short(&self, best: &Self, from_s: u64) -> bool {
+        let seconds = from_s..from_s + WINDOW_S;
+        let could_have_had = seconds.map(|second| {
+            let asked = self.at(second).asked_tokens;
+            asked.min(best.at(second).begun_tokens)
+        });
+        let owed = could_have_had.sum::<u64>() / SHORT_DIVISOR;
+        let had = self.sum(from_s).begun_tokens + SLACK_REQUESTS * self.largest_tokens;
+        self.waits_throughout(from_s) && had < owed
+    }
+
     fn waits_throughout(&self, from_s: u64) -> bool {
         let mut seconds = from_s..from_s + WINDOW_S;
         seconds.all(|second| {
