Read the logs once for shares, by the reader that explain has

Cause: the stages of requests were counted by a second pass over all logs, with the loop of the first one written again; the sentences of the lines stood in two files. Now one pass collects decisions and the ends of requests, read_lines serves shares and explain, and the sentences stand beside it.

--- a/crates/ctl/src/commands/shares.rs
+++ b/crates/ctl/src/commands/shares.rs
@@ -10,13 +10,11 @@
 use crate::logs::read_all;
 use crate::output::Output;
 use crate::shares::{Shares, add_up};
-use crate::stages::{Short, StageTable, Stages};
+use crate::stages::{Short, Stages};
 
 /// Runs `shares`.
 pub(crate) fn run(options: &SharesOptions, output: &mut Output<'_, '_>) -> Result<Exit, Failure> {
-    let logs = read_all(&options.logs)?;
-    let shares = add_up(&logs);
-    let table = StageTable::read(&logs);
+    let (shares, table) = add_up(&read_all(&options.logs)?);
     let exit = if shares.teams.is_empty() {
         Exit::Failed
     } else {
--- a/crates/ctl/src/logs.rs
+++ b/crates/ctl/src/logs.rs
@@ -10,6 +10,16 @@
 /// Name that stands for standard input.
 const STANDARD_INPUT: &str = "-";
 
+/// Sentence of the line that ends a request at a gateway.
+pub(crate) const REQUEST_ENDED: &str = "Request.";
+
+/// Sentences of an admission's two decisions.
+pub(crate) const GRANTED: &str = "Granted.";
+pub(crate) const REFUSED: &str = "Refused.";
+
+/// Sentence of the line that an admission writes of its engine once a second.
+pub(crate) const ENGINE: &str = "Engine.";
+
 /// Holds one line with the process that wrote it.
 pub(crate) struct Logged {
     pub(crate) process: Box<str>,
@@ -41,8 +51,14 @@
     Ok((process, String::from_utf8_lossy(&bytes).into_owned()))
 }
 
+/// Reads the lines of logs, each with the name of its process, one log after the other.
+pub(crate) fn read_lines(logs: &[(Box<str>, String)]) -> impl Iterator<Item = Logged> {
+    let logs = logs.iter();
+    logs.flat_map(|(process, log)| log.lines().filter_map(|text| read_line(process, text)))
+}
+
 /// Reads a line; what stands before its time names its process, and else the log does.
-pub(crate) fn read_line(process: &str, text: &str) -> Option<Logged> {
+fn read_line(process: &str, text: &str) -> Option<Logged> {
     let mut start = 0;
     loop {
         if let Some(line) = Line::read(&text[start..]) {
--- a/crates/ctl/src/shares.rs
+++ b/crates/ctl/src/shares.rs
@@ -6,7 +6,8 @@
 use hinge_telemetry::parse::Line;
 use serde::Serialize;
 
-use crate::logs::read_line;
+use crate::logs::{ENGINE, GRANTED, REFUSED, REQUEST_ENDED, read_lines};
+use crate::stages::{Event, StageTable, events_of_request};
 
 /// Time over which the service of teams is compared; shares are owed over some four seconds.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -14,11 +15,6 @@
 /// Weight of a generated token against a read one, as the admissions count service.
 const ANSWER_WEIGHT: u64 = 2;
 
-/// Sentences of an admission: its two decisions, and its line of the engine once a second.
-const GRANTED: &str = "Granted.";
-const REFUSED: &str = "Refused.";
-const ENGINE: &str = "Engine.";
-
 /// Holds what one team had, in tokens of service.
 #[derive(Clone, Debug, Default, Serialize)]
 pub(crate) struct TeamShare {
@@ -65,20 +61,21 @@
     backlogged: BTreeSet<Box<str>>,
 }
 
-/// Adds up logs, each with the name of its process.
-pub(crate) fn add_up(logs: &[(Box<str>, String)]) -> Shares {
+/// Adds up logs, each with the name of its process: what the engines gave, and what became of each team's requests.
+pub(crate) fn add_up(logs: &[(Box<str>, String)]) -> (Shares, StageTable) {
     let mut shares = Shares::default();
     let mut decisions = Vec::new();
-    for (process, log) in logs {
-        for logged in log.lines().filter_map(|text| read_line(process, text)) {
-            let line = &logged.line;
-            match &*line.sentence {
-                GRANTED | REFUSED => decisions.extend(Decision::read(line)),
-                ENGINE => note_engine(&mut shares, &logged.process, line),
-                _ => {}
-            }
+    let mut events = Vec::new();
+    for logged in read_lines(logs) {
+        let line = &logged.line;
+        match &*line.sentence {
+            GRANTED | REFUSED => decisions.extend(Decision::read(line)),
+            ENGINE => note_engine(&mut shares, &logged.process, line),
+            REQUEST_ENDED => events.extend(events_of_request(line)),
+            _ => {}
         }
     }
+    events.extend(decisions.iter().filter_map(Event::of_decision));
     decisions.sort_by_key(|decision| decision.at);
     shares.gaps = gaps(&decisions);
     for decision in decisions {
@@ -91,7 +88,7 @@
             share.refused_tokens += decision.tokens;
         }
     }
-    shares
+    (shares, StageTable::of(&events))
 }
 
 /// Holds what an admission decided on an ask.
@@ -103,11 +100,7 @@
 }
 
 impl Decision {
-    /// Reads a line; none where it tells of no decision.
-    pub(crate) fn read(line: &Line) -> Option<Self> {
-        if !matches!(&*line.sentence, GRANTED | REFUSED) {
-            return None;
-        }
+    fn read(line: &Line) -> Option<Self> {
         Some(Self {
             at: unix_time(line)?,
             team: line.get("team")?.into(),
--- a/crates/ctl/src/stages.rs
+++ b/crates/ctl/src/stages.rs
@@ -9,7 +9,6 @@
 use hinge_telemetry::parse::Line;
 use serde::Serialize;
 
-use crate::logs::read_line;
 use crate::shares::{Decision, number, service_tokens, unix_time};
 
 /// Seconds over which the service of teams is compared.
@@ -21,9 +20,6 @@
 /// Largest requests of a team that don't count when it is compared.
 const SLACK_REQUESTS: u64 = 3;
 
-/// Sentence of the line that ends a request at a gateway.
-const END: &str = "Request.";
-
 /// Outcome of a request that a gateway had no room for.
 const OVERLOADED: &str = "overloaded";
 
@@ -58,7 +54,6 @@
 /// Holds the stages of each team in each second from the first line on.
 #[derive(Debug, Default)]
 pub(crate) struct StageTable {
-    first: Option<Duration>,
     teams: BTreeMap<Box<str>, Team>,
 }
 
@@ -77,24 +72,17 @@
 }
 
 impl StageTable {
-    /// Reads logs, each with the name of its process.
-    pub(crate) fn read(logs: &[(Box<str>, String)]) -> Self {
+    /// Sorts events, in any order, by team and second.
+    pub(crate) fn of(events: &[Event]) -> Self {
         let mut table = Self::default();
-        let mut events = Vec::new();
-        for (process, log) in logs {
-            for logged in log.lines().filter_map(|text| read_line(process, text)) {
-                note_line(&logged.line, &mut events);
-            }
-        }
-        table.first = events.iter().map(|event| event.at).min();
-        for event in &events {
-            table.add(event);
+        let first = events.iter().map(|event| event.at).min();
+        for event in events {
+            table.add(event, first.unwrap_or_default());
         }
         table
     }
 
-    fn add(&mut self, event: &Event) {
-        let first = self.first.unwrap_or_default();
+    fn add(&mut self, event: &Event, first: Duration) {
         let second = event.at.saturating_sub(first).as_secs();
         let team = self.teams.entry(event.team.clone()).or_default();
         team.largest_tokens = team.largest_tokens.max(event.tokens);
@@ -181,35 +169,34 @@
     }
 }
 
-struct Event {
+/// Tells that a request of a team has come to a stage.
+pub(crate) struct Event {
     at: Duration,
     team: Box<str>,
     tokens: u64,
     stage: Stage,
 }
 
-fn note_line(line: &Line, events: &mut Vec<Event>) {
-    if let Some(decision) = Decision::read(line).filter(|decision| decision.is_granted) {
-        events.push(Event {
+impl Event {
+    /// Returns that of a grant; none of a refusal, which the request's end tells.
+    pub(crate) fn of_decision(decision: &Decision) -> Option<Self> {
+        decision.is_granted.then(|| Self {
             at: decision.at,
-            team: decision.team,
+            team: decision.team.clone(),
             tokens: decision.tokens,
             stage: Stage::Granted,
-        });
-    }
-    if &*line.sentence == END {
-        note_request(line, events);
+        })
     }
 }
 
-/// Notes the stages of a request that has ended; a plain one has none.
-fn note_request(line: &Line, events: &mut Vec<Event>) {
+/// Returns the stages of a request that has ended, by the line of its end; none of a plain one.
+pub(crate) fn events_of_request(line: &Line) -> Vec<Event> {
     let (Some(ended), Some(team)) = (unix_time(line), line.get("team")) else {
-        return;
+        return Vec::new();
     };
     let tokens = service_tokens(line);
     if tokens == 0 {
-        return;
+        return Vec::new();
     }
     let arrived = ended.saturating_sub(Duration::from_millis(number(line, "ms")));
     let first_ms = number(line, "first_ms");
@@ -218,12 +205,13 @@
         Some(OVERLOADED) => (ended, Stage::Overloaded),
         _ => (ended, Stage::NotRun),
     };
-    for (at, stage) in [(arrived, Stage::Asked), fate] {
-        events.push(Event {
+    let stages = [(arrived, Stage::Asked), fate].into_iter();
+    stages
+        .map(|(at, stage)| Event {
             at,
             team: team.into(),
             tokens,
             stage,
-        });
-    }
+        })
+        .collect()
 }
--- a/crates/ctl/src/story.rs
+++ b/crates/ctl/src/story.rs
@@ -7,15 +7,10 @@
 use hinge_telemetry::parse::Line;
 use serde::Serialize;
 
-use crate::logs::{Logged, read_line};
+use crate::logs::{ENGINE, GRANTED, Logged, REFUSED, REQUEST_ENDED, read_lines};
 
-/// Key of a request's number, and sentence of the line that ends it.
+/// Key of a request's number.
 const ID: &str = "id";
-const END: &str = "Request.";
-
-/// Sentences of an admission's two decisions.
-const GRANTED: &str = "Granted.";
-const REFUSED: &str = "Refused.";
 
 /// Sentence of the line that tells how many lines were dropped.
 const DROPPED: &str = "Dropped lines that nobody took in time.";
@@ -33,9 +28,6 @@
 /// Most lines that are shown around a request; the last ones are the nearest.
 const MOST_AROUND: usize = 20;
 
-/// Sentence of the line that an admission writes of its engine once a second; only the last one is shown.
-const ENGINE: &str = "Engine.";
-
 /// Holds one line with the process that wrote it.
 #[derive(Clone, Debug, Serialize)]
 pub(crate) struct Told {
@@ -75,14 +67,14 @@
 
 /// Tells the story of a request out of logs, each with the name of its process.
 pub(crate) fn tell(id: &str, logs: &[(Box<str>, String)]) -> Story {
-    let mut all: Vec<Logged> = logs
-        .iter()
-        .flat_map(|(process, log)| log.lines().filter_map(|text| read_line(process, text)))
-        .collect();
+    let mut all: Vec<Logged> = read_lines(logs).collect();
     // Lines of one process keep their order where their times are equal.
     all.sort_by(|a, b| a.line.time.cmp(&b.line.time));
     let own: Vec<&Logged> = all.iter().filter(|read| read.is_of(id)).collect();
-    let end = own.iter().rev().find(|read| &*read.line.sentence == END);
+    let end = own
+        .iter()
+        .rev()
+        .find(|read| &*read.line.sentence == REQUEST_ENDED);
     Story {
         id: id.into(),
         outcome: outcome(end.map(|read| &read.line), own.is_empty()),
