--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -42,12 +42,17 @@
 }
 
 impl Known {
+    /// Returns the load that the admission told, and its age, unless it is too old to be used.
+    fn fresh_engine(&self) -> Option<(&EngineLoad, Duration)> {
+        let (load, told_at) = self.engine.as_ref()?;
+        let age = told_at.elapsed();
+        (age < LOAD_AGE).then_some((load, age))
+    }
+
     /// Returns whether the admission beside it said lately that its engine is gone.
     fn engine_is_gone(&self) -> bool {
-        let told = self.engine.as_ref();
-        told.is_some_and(|(load, told_at)| {
-            load.engine_is_gone == Some(true) && told_at.elapsed() < LOAD_AGE
-        })
+        let told = self.fresh_engine();
+        told.is_some_and(|(load, _)| load.engine_is_gone == Some(true))
     }
 }
 
@@ -136,9 +141,7 @@
     /// Describes it for the choice, with the age of its load in milliseconds.
     pub(crate) fn candidate(&self, data_center: &str, keeps_parts: bool) -> (Candidate, u128) {
         let known = self.lock();
-        if let Some((load, told_at)) = &known.engine
-            && told_at.elapsed() < LOAD_AGE
-        {
+        if let Some((load, age)) = known.fresh_engine() {
             let candidate = Candidate {
                 hash: self.hash,
                 running: load.running,
@@ -147,7 +150,7 @@
                 is_near: self.is_in(data_center),
                 keeps_parts,
             };
-            return (candidate, told_at.elapsed().as_millis());
+            return (candidate, age.as_millis());
         }
         let (running, age) = match known.load {
             Some((load, told_at)) if told_at.elapsed() < LOAD_AGE => {
@@ -200,18 +203,13 @@
 
     /// Returns whether the admission beside it has told its load lately, so that it is there and can be reached.
     pub(crate) fn has_fresh_load(&self) -> bool {
-        let known = self.lock();
-        let told_at = known.engine.as_ref().map(|(_, told_at)| told_at);
-        told_at.is_some_and(|told_at| told_at.elapsed() < LOAD_AGE)
+        self.lock().fresh_engine().is_some()
     }
 
     /// Returns what a team has used there lately, in tokens, as far as it was told.
     pub(crate) fn used_by(&self, team: &str) -> u64 {
         let known = self.lock();
-        let is_fresh = known
-            .engine
-            .as_ref()
-            .is_some_and(|(_, at)| at.elapsed() < LOAD_AGE);
+        let is_fresh = known.fresh_engine().is_some();
         let used = known.team_use.get(team).filter(|_| is_fresh);
         used.copied().unwrap_or_default()
     }
@@ -219,8 +217,7 @@
     /// Goes through what the teams have used there lately, in tokens, as far as it was told.
     pub(crate) fn each_use(&self, mut visit: impl FnMut(&str, u64)) {
         let known = self.lock();
-        let told_at = known.engine.as_ref().map(|(_, at)| *at);
-        if told_at.is_some_and(|at| at.elapsed() < LOAD_AGE) {
+        if known.fresh_engine().is_some() {
             for (team, tokens) in &known.team_use {
                 visit(team, *tokens);
             }
