Keep a running request's ask in place of copies of its fields

Giving charges back had added copies of the team and of the charge beside those of the request's number and prompt. A granted ask is moved into what runs, the charge follows from it, and both uses are charged in one loop as they are given back.

--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -65,13 +65,9 @@
 
 #[derive(Debug)]
 struct Running {
-    request_id: Box<str>,
-    team: Box<str>,
-    /// What its team is charged with.
-    service_tokens: u32,
+    ask: Ask,
     /// What the engine has read for it.
     read_tokens: u32,
-    prompt_tokens: u32,
     unread_tokens: u32,
     kv_tokens: u64,
     granted_at: Duration,
@@ -191,11 +187,11 @@
         let runs: HashMap<&str, &Run> = runs.map(|run| (&*run.request_id, run)).collect();
         let (mut read, mut more) = (0, 0);
         for running in self.running.values_mut() {
-            let run = runs.get(&*running.request_id);
+            let run = runs.get(&*running.ask.request_id);
             let Some(run) = run.filter(|_| !running.has_begun && !running.is_given_up) else {
                 continue;
             };
-            let left = running.prompt_tokens.saturating_sub(run.kv_tokens);
+            let left = running.ask.prompt_tokens.saturating_sub(run.kv_tokens);
             let left = if run.events > 0 { 0 } else { left };
             // A part that was taken for kept, and is not, shows here first.
             more += left.saturating_sub(running.unread_tokens);
@@ -247,7 +243,7 @@
     /// gateways wait to the deadline, and their places would stay taken beside an idle engine.
     fn give_up_missing(&mut self, now: Duration, is_listed: impl Fn(&str) -> bool) {
         for (id, running) in &mut self.running {
-            if is_listed(&running.request_id) {
+            if is_listed(&running.ask.request_id) {
                 running.missing_since = None;
                 continue;
             }
@@ -316,9 +312,10 @@
     /// The load pattern: engines end, and the places that are granted before them are given back at once. A team whose shared parts are
     /// kept there would pay for more than it asks for, and wait at all other engines for service that it never had.
     fn take_back_charge(&mut self, now: Duration, running: &Running) {
-        let tokens = running.service_tokens.saturating_sub(running.read_tokens);
+        let charged = running.ask.service_tokens();
+        let tokens = charged.saturating_sub(running.read_tokens);
         for usage in [&mut self.usage, &mut self.had] {
-            usage.take_back(now, &running.team, tokens, running.granted_at);
+            usage.take_back(now, &running.ask.team, tokens, running.granted_at);
         }
         self.share_until = Duration::ZERO;
     }
@@ -336,7 +333,7 @@
                 break;
             };
             let next = self.waiting.swap_remove(next);
-            decisions.push(self.grant(now, &next));
+            decisions.push(self.grant(now, next));
         }
         decisions
     }
@@ -521,10 +518,10 @@
         is_overdue(had, most_had).then_some(had)
     }
 
-    fn grant(&mut self, now: Duration, next: &Waiting) -> Decision {
-        let ask = &next.ask;
+    fn grant(&mut self, now: Duration, next: Waiting) -> Decision {
+        let Waiting { id, ask, since } = next;
         let ahead_tokens = self.unread_tokens;
-        let unread_tokens = self.tokens_to_read(ask);
+        let unread_tokens = self.tokens_to_read(&ask);
         let shared_tokens = ask.shared.map_or(0, |(_, tokens)| tokens);
         let own = ask.prompt_tokens.saturating_sub(shared_tokens);
         let kv_tokens = u64::from(own) + u64::from(ask.answer_tokens);
@@ -532,17 +529,15 @@
         if let Some((key, tokens)) = ask.shared {
             self.cache.touch(key, u64::from(tokens), self.running_kv);
         }
-        self.usage.add(now, &ask.team, ask.service_tokens());
-        self.had.add(now, &ask.team, ask.service_tokens());
+        for usage in [&mut self.usage, &mut self.had] {
+            usage.add(now, &ask.team, ask.service_tokens());
+        }
         self.share_until = Duration::ZERO;
         self.unread_tokens += unread_tokens;
         self.pace.busy(now);
         let running = Running {
-            request_id: ask.request_id.clone(),
-            team: ask.team.clone(),
-            service_tokens: ask.service_tokens(),
+            ask,
             read_tokens: 0,
-            prompt_tokens: ask.prompt_tokens,
             unread_tokens,
             kv_tokens,
             granted_at: now,
@@ -551,10 +546,10 @@
             has_begun: false,
             is_given_up: false,
         };
-        self.running.insert(next.id, running);
+        self.running.insert(id, running);
         Decision::Grant {
-            id: next.id,
-            waited: now.saturating_sub(next.since),
+            id,
+            waited: now.saturating_sub(since),
             ahead_tokens,
         }
     }
