--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -4,6 +4,7 @@
 //! queue, without any I/O, and [`Server`] serves it. The answers don't pass through here; a gateway that can't reach the
 //! admission sends unasked.
 
+mod accounts;
 mod ask;
 mod asks;
 mod cache;
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -5,17 +5,18 @@
 //! round trip; the rest waits here, where the order can still change. A request whose turn would come too late to be on time
 //! is turned away at once, with the time at which the queue is expected to be read.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::time::Duration;
 
 use smallvec::SmallVec;
 
+use crate::accounts::Accounts;
 use crate::ask::{Ask, AskId, Decision, Load, RefusalCause, Rules};
 use crate::cache::Cache;
 use crate::engine::{Report, Run};
 use crate::order::{Claim, Waiting, order_of};
 use crate::pace::Pace;
-use crate::turn::{is_overdue, reference, turn_permille};
+use crate::turn::turn_permille;
 use crate::usage::Usage;
 
 /// Time from a prompt's reading to the first piece of its answer that is assumed at first: the steps of one event beside
@@ -29,9 +30,6 @@
 /// Time after which it counts as lost: a lost packet is sent again within a second.
 const LOST_AFTER: Duration = Duration::from_millis(900);
 
-/// Time for which the measured share is believed; uses fade over two seconds.
-const MEASURE_SHARE_EVERY: Duration = Duration::from_millis(50);
-
 /// Part of its budget for which one ask of each team stays in the queue though its turn would come too late: an eighth, after which
 /// a refusal still leaves its caller most of the time.
 ///
@@ -104,18 +102,9 @@
     /// Requests among the running ones whose places were given to others.
     given_up: u32,
     lost: Vec<(AskId, Duration)>,
-    usage: Usage,
-    /// What the teams have had here of late.
-    had: Usage,
-    /// What the teams have used at other engines, as it was last told.
-    elsewhere: Usage,
+    accounts: Accounts,
     /// Until when teams within their share are expected to need the engine.
     crowded_until: Duration,
-    /// Use of the team that has used most.
-    most_used: f64,
-    /// Use that a team's own is measured against, and until when that is believed.
-    share: f64,
-    share_until: Duration,
 }
 
 impl Admission {
@@ -137,19 +126,14 @@
             first_event: FIRST_EVENT,
             given_up: 0,
             lost: Vec::new(),
-            usage: Usage::default(),
-            had: Usage::of_late(),
-            elsewhere: Usage::default(),
+            accounts: Accounts::new(),
             crowded_until: Duration::ZERO,
-            most_used: 0.0,
-            share: 1.0,
-            share_until: Duration::ZERO,
         }
     }
 
     /// Puts an ask into the queue; [`Admission::decide`] says what becomes of it.
     pub fn ask(&mut self, now: Duration, id: AskId, ask: Ask) {
-        self.elsewhere.set(now, &ask.team, ask.elsewhere_tokens);
+        self.accounts.heard_elsewhere(now, &ask);
         self.waiting.push(Waiting {
             id,
             ask,
@@ -290,7 +274,9 @@
             return;
         };
         if !running.has_begun {
-            self.take_back_charge(now, &running);
+            let (read_tokens, granted_at) = (running.read_tokens, running.granted_at);
+            self.accounts
+                .take_back(now, &running.ask, read_tokens, granted_at);
         }
         if running.is_given_up {
             self.given_up -= 1;
@@ -307,19 +293,6 @@
             .touch(own_part(id), running.kv_tokens, self.running_kv);
     }
 
-    /// Charges the team of a request that never began only with what was read for it.
-    ///
-    /// The load pattern: engines end, and the places that are granted before them are given back at once. A team whose shared parts are
-    /// kept there would pay for more than it asks for, and wait at all other engines for service that it never had.
-    fn take_back_charge(&mut self, now: Duration, running: &Running) {
-        let charged = running.ask.service_tokens();
-        let tokens = charged.saturating_sub(running.read_tokens);
-        for usage in [&mut self.usage, &mut self.had] {
-            usage.take_back(now, &running.ask.team, tokens, running.granted_at);
-        }
-        self.share_until = Duration::ZERO;
-    }
-
     /// Decides on the asks that wait.
     pub fn decide(&mut self, now: Duration) -> Vec<Decision> {
         self.is_young = now < ASSUME_KEPT && !self.engine_restarted;
@@ -367,7 +340,7 @@
     /// Returns what the teams have used lately.
     #[must_use]
     pub fn usage(&self) -> &Usage {
-        &self.usage
+        self.accounts.usage()
     }
 
     /// Returns whether an ask waits for its turn.
@@ -403,8 +376,9 @@
 
     /// Refuses the asks whose turn comes too late; the others keep their places.
     fn turn_away(&mut self, now: Duration, decisions: &mut Vec<Decision>) {
-        let share = self.reference_use(now);
-        let most_had = self.most_had(now);
+        let teams = self.waiting.iter().map(|waiting| &*waiting.ask.team);
+        let share = self.accounts.measure_share(now, teams);
+        let most_had = self.accounts.most_had(now);
         let mut ahead = u64::from(self.unread_tokens);
         let mut late = Vec::new();
         let mut staying: SmallVec<[Box<str>; 8]> = SmallVec::new();
@@ -412,8 +386,8 @@
         for place in self.order(now) {
             let waiting = &self.waiting[place];
             let own = u64::from(self.tokens_to_read(&waiting.ask));
-            let used = self.used(now, &waiting.ask.team);
-            let is_overdue = self.overdue_at(now, &waiting.ask.team, most_had).is_some();
+            let Claim { used, overdue_at } = self.accounts.claim(now, &waiting.ask.team, most_had);
+            let is_overdue = overdue_at.is_some();
             // A turn that is overdue comes as for a team within its share.
             let counted = if is_overdue { used.min(share) } else { used };
             let permille = turn_permille(self.rules.turn_permille, counted, share);
@@ -432,7 +406,7 @@
                 crowded = true;
             }
             let team = &waiting.ask.team;
-            let part = if is_overdue || used < self.most_used * FAR_LESS {
+            let part = if is_overdue || used < self.accounts.most_used() * FAR_LESS {
                 STAY_PART_BEHIND
             } else {
                 STAY_PART
@@ -473,51 +447,14 @@
         refused.collect()
     }
 
-    /// Returns what a team has used lately, here and at the other engines.
-    fn used(&self, now: Duration, team: &str) -> f64 {
-        self.usage.of(now, team) + self.elsewhere.of(now, team)
-    }
-
-    /// Returns the use that a team's own is measured against, measured again from time to time.
-    fn reference_use(&mut self, now: Duration) -> f64 {
-        if self.share_until <= now {
-            // A team that waits and has had nothing shares as well; without it the only one that is served is within its share.
-            let waiting = self.waiting.iter().map(|waiting| &*waiting.ask.team);
-            let teams: BTreeSet<&str> = self
-                .usage
-                .teams(now)
-                .map(|(team, _)| team)
-                .chain(waiting)
-                .collect();
-            let used: Vec<f64> = teams.iter().map(|team| self.used(now, team)).collect();
-            self.most_used = used.iter().copied().fold(0.0, f64::max);
-            self.share = reference(used);
-            self.share_until = now + MEASURE_SHARE_EVERY;
-        }
-        self.share
-    }
-
     /// Returns the places of the waiting asks in the order of their turns.
     fn order(&self, now: Duration) -> Vec<usize> {
-        let most_had = self.most_had(now);
-        order_of(&self.waiting, self.share, |team| Claim {
-            used: self.used(now, team),
-            overdue_at: self.overdue_at(now, team, most_had),
+        let most_had = self.accounts.most_had(now);
+        order_of(&self.waiting, self.accounts.share(), |team| {
+            self.accounts.claim(now, team, most_had)
         })
     }
 
-    /// Returns what the team with the most has had here of late.
-    fn most_had(&self, now: Duration) -> f64 {
-        let had = self.had.teams(now).map(|(_, tokens)| tokens);
-        had.fold(0.0, f64::max)
-    }
-
-    /// Returns what a team has had here of late, if that is far less than the most.
-    fn overdue_at(&self, now: Duration, team: &str, most_had: f64) -> Option<f64> {
-        let had = self.had.of(now, team);
-        is_overdue(had, most_had).then_some(had)
-    }
-
     fn grant(&mut self, now: Duration, next: Waiting) -> Decision {
         let Waiting { id, ask, since } = next;
         let ahead_tokens = self.unread_tokens;
@@ -529,10 +466,7 @@
         if let Some((key, tokens)) = ask.shared {
             self.cache.touch(key, u64::from(tokens), self.running_kv);
         }
-        for usage in [&mut self.usage, &mut self.had] {
-            usage.add(now, &ask.team, ask.service_tokens());
-        }
-        self.share_until = Duration::ZERO;
+        self.accounts.charge(now, &ask);
         self.unread_tokens += unread_tokens;
         self.pace.busy(now);
         let running = Running {
