Log which requests an endpoint took with it when it ended, by a key over all attempts

A gateway now tells an end from a lost connection (the admission's word, another start at the address, and for plain endpoints a refused connection, for which it opens one) and writes a line for each request that broke off under it, with a key made of method, path, team and body. gateway_ended_under counts them. A planned stop and a connection that was only lost count for nothing.

No decision changes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,10 +1,11 @@
 //! Sends a request to one endpoint and reads the head of its answer.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
+use hinge_routing::RequestKey;
 use http::header::CONTENT_ENCODING;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
@@ -33,6 +34,18 @@
     pub(crate) may_go_on: bool,
     /// When the caller no longer waits, or the route's timeout is over.
     pub(crate) ends_at: Instant,
+    /// Made when it is asked for first.
+    pub(crate) key: OnceLock<RequestKey>,
+}
+
+impl Outgoing {
+    /// Returns what names the request at every gateway and over all attempts of its caller.
+    pub(crate) fn key(&self) -> RequestKey {
+        let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
+        let team = self.team.as_deref();
+        let key = || RequestKey::of(self.method.as_str(), path, team, &self.body);
+        *self.key.get_or_init(key)
+    }
 }
 
 /// Holds an endpoint's answer whose head has come.
@@ -94,6 +107,7 @@
         {
             Ok(Ok(sender)) => sender,
             Ok(Err(cause)) => {
+                endpoint.not_connected(&cause);
                 in_use.failed(&cause.to_string());
                 return Attempt::NotSent;
             }
@@ -105,6 +119,7 @@
         biased;
         sent = timeout_at(outgoing.ends_at, exchange(sender, request)) => sent,
         cause = in_use.lost(outgoing.may_go_on) => {
+            in_use.broke(outgoing);
             in_use.failed(cause);
             return Attempt::Unknown(cause);
         }
@@ -122,6 +137,7 @@
             return Attempt::NotSent;
         }
         Ok(Exchanged::Lost) => {
+            in_use.broke(outgoing);
             in_use.failed("the connection broke");
             return Attempt::Unknown("the connection broke");
         }
--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -1,11 +1,12 @@
 //! Holds what a gateway knows of one endpoint.
 
 use std::collections::HashMap;
+use std::io;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use hinge_routing::{Candidate, IncarnationHash, Standing, StandingRules};
+use hinge_routing::{Candidate, Ends, IncarnationHash, Standing, StandingRules};
 use hinge_schema::routing::{Endpoint as Described, EngineLoad};
 use hinge_telemetry::log::Part;
 use hinge_telemetry::{info, warn};
@@ -13,8 +14,10 @@
 use tokio::time::{Instant, sleep};
 
 use crate::admit::{Admitter, Place};
+use crate::attempt::Outgoing;
 use crate::dialect::Load;
-use crate::pool::Pool;
+use crate::pool::{self, Pool};
+use crate::suspects::{BrokenRequest, Evidence, Suspects};
 
 /// Time that is left to an answer once it is known that its endpoint has started again: what the former start sent may wait to be
 /// read, and a gateway that is short of processor time reads it within a few tens of milliseconds.
@@ -72,10 +75,18 @@
     has_restarted: watch::Sender<bool>,
     began: Instant,
     known: Mutex<Known>,
+    ends: Mutex<Ends<BrokenRequest>>,
+    /// Whether a connection is being opened to learn whether it has ended.
+    is_probed: AtomicBool,
+    suspects: Arc<Suspects>,
 }
 
 impl Endpoint {
-    pub(crate) fn new(described: Described, admitter: Option<Admitter>) -> Self {
+    pub(crate) fn new(
+        described: Described,
+        admitter: Option<Admitter>,
+        suspects: Arc<Suspects>,
+    ) -> Self {
         Self {
             admitter,
             hash: hash(&described.id),
@@ -86,9 +97,73 @@
             pool: Pool::default(),
             began: Instant::now(),
             known: Mutex::default(),
+            ends: Mutex::default(),
+            is_probed: AtomicBool::new(false),
+            suspects,
         }
     }
 
+    /// Notes that it leaves as planned.
+    pub(crate) fn leaves(&self) {
+        self.lock_ends().leaves();
+        self.drain();
+    }
+
+    /// Notes that the answer to a request broke off.
+    pub(crate) fn broke(self: &Arc<Self>, request: BrokenRequest) {
+        let now = self.began.elapsed();
+        let taken = self.lock_ends().broke(now, request);
+        match taken {
+            Some(request) => self
+                .suspects
+                .ended_under(&request, self, Evidence::KnownBefore),
+            None => self.probe(),
+        }
+    }
+
+    /// Notes word that it has ended.
+    pub(crate) fn ended(&self, evidence: Evidence) {
+        let now = self.began.elapsed();
+        let taken = self.lock_ends().ended(now);
+        for request in taken {
+            self.suspects.ended_under(&request, self, evidence);
+        }
+    }
+
+    /// Opens a connection to learn whether anything listens, where no admission tells it.
+    fn probe(self: &Arc<Self>) {
+        if self.is_watched() || self.is_probed.swap(true, Ordering::AcqRel) {
+            return;
+        }
+        let endpoint = Arc::clone(self);
+        tokio::spawn(async move {
+            match pool::connect(endpoint.described.address).await {
+                Ok(sender) => endpoint.pool.keep(sender, None),
+                Err(cause) => endpoint.not_connected(&cause),
+            }
+            endpoint.is_probed.store(false, Ordering::Release);
+        });
+    }
+
+    /// Notes that a connection could not be opened.
+    ///
+    /// A refused one proves that a plain endpoint has ended. Of a model engine the admission knows more: it is on the same machine,
+    /// so that a cut on the way can't mislead it.
+    pub(crate) fn not_connected(&self, cause: &io::Error) {
+        if cause.kind() == io::ErrorKind::ConnectionRefused && !self.is_watched() {
+            self.ended(Evidence::ConnectionRefused);
+        }
+    }
+
+    /// Returns whether an admission beside it has told of it.
+    fn is_watched(&self) -> bool {
+        self.lock().engine.is_some()
+    }
+
+    fn lock_ends(&self) -> MutexGuard<'_, Ends<BrokenRequest>> {
+        self.ends.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Notes that the endpoint takes no new work.
     pub(crate) fn drain(&self) {
         self.is_draining.store(true, Ordering::Release);
@@ -97,6 +172,7 @@
 
     /// Notes that the endpoint has started again: this start of it takes no new work, and ends what it has.
     pub(crate) fn started_again(&self) {
+        self.ended(Evidence::Replaced);
         self.drain();
         self.has_restarted.send_replace(true);
         info!(
@@ -199,6 +275,10 @@
         }
         known.engine = Some((load.clone(), Instant::now()));
         known.since_engine = 0;
+        drop(known);
+        if load.engine_is_gone == Some(true) {
+            self.ended(Evidence::AdmissionSays);
+        }
     }
 
     /// Returns whether the admission beside it has told its load lately, so that it is there and can be reached.
@@ -295,9 +375,18 @@
                 address = self.endpoint.described.address
             );
         }
+        self.endpoint.ended(Evidence::Replaced);
         self.endpoint.drain();
     }
 
+    /// Notes that the answer to the request broke off, or can't come any more.
+    pub(crate) fn broke(&self, outgoing: &Outgoing) {
+        self.endpoint.broke(BrokenRequest {
+            key: outgoing.key(),
+            request_id: outgoing.request_id.clone().unwrap_or_default(),
+        });
+    }
+
     /// Notes that the first piece of the answer has come, or all of one that is not passed on in pieces.
     pub(crate) fn began(&self) {
         if let Some(place) = &self.place {
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -1,6 +1,7 @@
 //! Holds the routes and endpoints that a gateway knows.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -14,6 +15,7 @@
 
 use crate::admit::{Admitter, Ways};
 use crate::endpoint::Endpoint;
+use crate::suspects::{Evidence, Suspects};
 
 /// Holds one moment's routes and endpoints.
 #[derive(Debug, Default)]
@@ -51,6 +53,7 @@
     writer: Mutex<()>,
     /// How to reach the admissions beside the endpoints; none where there are none.
     admissions: Option<Ways>,
+    pub(crate) suspects: Arc<Suspects>,
     began: Instant,
     /// When control last said that this is the newest that it knows, in milliseconds since `began`.
     confirmed_ms: AtomicU64,
@@ -58,11 +61,12 @@
 
 impl Held {
     /// Creates an empty one.
-    pub(crate) fn new(admissions: Option<Ways>) -> Self {
+    pub(crate) fn new(admissions: Option<Ways>, suspects: Suspects) -> Self {
         Self {
             current: ArcSwap::default(),
             writer: Mutex::default(),
             admissions,
+            suspects: Arc::new(suspects),
             began: Instant::now(),
             confirmed_ms: AtomicU64::new(0),
         }
@@ -137,7 +141,7 @@
     fn endpoint(&self, described: hinge_schema::routing::Endpoint) -> Endpoint {
         let admissions = self.admissions.as_ref();
         let admitter = admissions.map(|ways| Admitter::new(described.address, ways.clone()));
-        Endpoint::new(described, admitter)
+        Endpoint::new(described, admitter, Arc::clone(&self.suspects))
     }
 
     /// Takes in a newer list of endpoints; an older one changes nothing.
@@ -164,14 +168,22 @@
                     .entry(service)
                     .or_default()
                     .push(Arc::clone(&endpoint));
-            } else {
-                endpoint.drain();
+            } else if !is_ready {
+                endpoint.leaves();
             }
             by_id.insert(endpoint.described.id.clone(), endpoint);
         }
+        let addresses: HashSet<SocketAddr> = by_id
+            .values()
+            .map(|endpoint| endpoint.described.address)
+            .collect();
         for (id, endpoint) in &held.by_id {
             match by_id.get(id) {
-                None => endpoint.drain(),
+                None if addresses.contains(&endpoint.described.address) => {
+                    endpoint.ended(Evidence::Replaced);
+                    endpoint.drain();
+                }
+                None => endpoint.leaves(),
                 Some(next) if !Arc::ptr_eq(next, endpoint) => endpoint.started_again(),
                 Some(_same) => {}
             }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -38,6 +38,7 @@
 use crate::metrics::Metrics;
 use crate::neighbours;
 use crate::serve::serve;
+use crate::suspects::Suspects;
 use crate::teams::Teams;
 
 /// Time after which an idle connection of a caller is closed when no table says so.
@@ -201,7 +202,8 @@
             client: client.clone(),
             lost_grace: settings.lost_grace,
         });
-        let held = Arc::new(Held::new(admissions));
+        let suspects = Suspects::register(registry);
+        let held = Arc::new(Held::new(admissions, suspects));
         let routes = neighbours::routes(Arc::clone(&readiness), key, Arc::clone(&held));
         let ready_listen = settings.ready_listen.to_string();
         let ready = Server::bind(&ready_listen, routes, Limits::default()).await?;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod pump;
 mod refusal;
 mod serve;
+mod suspects;
 mod teams;
 
 pub use dialect::{AnswerFacts, Dialect, Facts, Forward, Load, Word};
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -95,7 +95,7 @@
             biased;
             () = pieces.closed() => return Ended::CallerLeft,
             next = next_piece(&mut body, ends_at) => next,
-            _cause = in_use.lost(may_go_on) => return Ended::Broken,
+            _cause = in_use.lost(may_go_on) => Piece::Broken,
         };
         let piece = match next {
             Piece::Data(data) => match splitter.as_mut() {
@@ -106,7 +106,10 @@
                 None => data,
             },
             Piece::End => break,
-            Piece::Broken => return Ended::Broken,
+            Piece::Broken => {
+                in_use.broke(&job.outgoing);
+                return Ended::Broken;
+            }
             Piece::TimedOut => return Ended::TimedOut,
         };
         if piece.is_empty() {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,6 +1,6 @@
 //! Serves one request: finds its route and team, and sends it to endpoints until one answers.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -188,6 +188,7 @@
             .map_or(0, |prompt| prompt.prompt_tokens),
         may_go_on: false,
         ends_at,
+        key: OnceLock::new(),
     }
 }
 
@@ -300,9 +301,13 @@
     let (mut head, body) = response.into_parts();
     let body = tokio::select! {
         biased;
-        body = read_whole(body, job.outgoing.ends_at) => body?,
-        _cause = in_use.lost(job.outgoing.may_go_on) => return Err(NotWhole::Broken),
+        body = read_whole(body, job.outgoing.ends_at) => body,
+        _cause = in_use.lost(job.outgoing.may_go_on) => Err(NotWhole::Broken),
     };
+    if matches!(body, Err(NotWhole::Broken)) {
+        in_use.broke(&job.outgoing);
+    }
+    let body = body?;
     if head.status.is_success() {
         in_use.began();
     }
--- /dev/null
+++ b/crates/routing/src/request_key.rs
@@ -0,0 +1,70 @@
+//! Names a request by what it asks, whatever number its caller gives an attempt at it.
+
+use std::error::Error;
+use std::fmt;
+use std::str::FromStr;
+
+use sha2::{Digest, Sha256};
+
+/// Bytes of a key.
+const KEY_BYTES: usize = 16;
+
+/// Stands for a request's method, path, team and body; the same for each attempt of its caller, at every gateway.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestKey(u128);
+
+impl RequestKey {
+    /// Returns the key of a request; `path` holds the query as well, and no team stands for a route without keys.
+    #[must_use]
+    pub fn of(method: &str, path: &str, team: Option<&str>, body: &[u8]) -> Self {
+        let mut hash = Sha256::new();
+        for part in [method, path, team.unwrap_or_default()] {
+            // A length before each part keeps two splits of the same bytes apart.
+            hash.update((part.len() as u64).to_be_bytes());
+            hash.update(part);
+        }
+        hash.update([u8::from(team.is_some())]);
+        hash.update(body);
+        let digest = hash.finalize();
+        let mut key = [0; KEY_BYTES];
+        key.copy_from_slice(&digest[..KEY_BYTES]);
+        Self(u128::from_be_bytes(key))
+    }
+}
+
+impl fmt::Display for RequestKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl fmt::Debug for RequestKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+/// Says that a text is not the key of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RequestKeyError;
+
+impl fmt::Display for RequestKeyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "the key of a request has {} hex digits", 2 * KEY_BYTES)
+    }
+}
+
+impl Error for RequestKeyError {}
+
+impl FromStr for RequestKey {
+    type Err = RequestKeyError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let is_hex =
+            text.len() == 2 * KEY_BYTES && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        let key = is_hex
+            .then(|| u128::from_str_radix(text, 16).ok())
+            .flatten();
+        key.map(Self).ok_or(RequestKeyError)
+    }
+}
