--- a/crates/control/src/operator_calls.rs
+++ b/crates/control/src/operator_calls.rs
@@ -8,7 +8,7 @@
     Apply, ApplyReply, AskFolder, AskHistory, AskOrders, AskStatus, AskUpgrades, ConfigProblem,
     ControlInstance, Drain, DrainReply, Drains, Folder, FolderReply, History, HistoryReply,
     Invalid, Orders, OrdersReply, PlaceOrder, RemoveControl, RemoveControlReply, Status,
-    StatusReply, Unavailable, UpgradesReply,
+    StatusReply, SuspectsReply, Unavailable, UpgradesReply,
 };
 use hinge_state::{ChangeCommand, Checked, Command, DrainCommand, OrderCommand, Reply, State};
 use http::StatusCode;
@@ -22,6 +22,7 @@
 use crate::driver::Refused;
 use crate::operators::{Operator, OperatorKeys};
 use crate::route::{self, Slot};
+use crate::suspect_calls::answer_operator;
 
 /// Longest number, name or note of an operator, in bytes; they are kept in the log and in memory.
 const MAX_TEXT_BYTES: usize = 1024;
@@ -108,6 +109,14 @@
         UpgradesReply::Unavailable,
         upgrades
     );
+    let router = operator_call!(
+        router,
+        keys,
+        core,
+        "suspects",
+        SuspectsReply::Unavailable,
+        answer_operator
+    );
     operator_call!(
         router,
         keys,
--- a/crates/control/src/suspect_calls.rs
+++ b/crates/control/src/suspect_calls.rs
@@ -4,19 +4,25 @@
 
 use hinge_link::ClusterKey;
 use hinge_routing::{IncarnationHash, RequestKey, Suspects};
+use hinge_schema::messages::{AskSuspects, SuspectRecords, SuspectsReply};
 use hinge_schema::routing::{NoteSuspects, SuspectEnd, SuspectsNoted};
 use hinge_state::{Command, Reply, SuspectsCommand};
 use hinge_telemetry::log::Part;
-use hinge_telemetry::warn;
+use hinge_telemetry::{info, warn};
 use http::StatusCode;
 use viz::Router;
 
 use crate::core::Core;
+use crate::driver::Refused;
+use crate::operators::Operator;
 use crate::peer_calls::{at_leader, both};
 use crate::route::Slot;
 
 const SUSPECTS: &str = "/suspects";
 
+/// Most requests of one answer to an operator.
+const MAX_LISTED: usize = 1_000;
+
 /// Path on which a gateway tells of ends under requests.
 pub const NOTE_SUSPECTS_PATH: &str = "/v1/suspects";
 
@@ -52,6 +58,31 @@
     Ok(SuspectsNoted {})
 }
 
+/// Answers an operator with the requests that endpoints ended under, after the release of one where that is asked for.
+pub(crate) async fn answer_operator(
+    core: Arc<Core>,
+    operator: Operator,
+    ask: AskSuspects,
+) -> Result<SuspectsReply, Refused> {
+    let release = ask.release.and_then(|key| key.parse().ok());
+    if let Some(request) = release {
+        let command = SuspectsCommand {
+            ends: Vec::new(),
+            completed: vec![request],
+        };
+        core.propose(Command::Suspects(command)).await?;
+        info!(
+            Part::Control,
+            "A request is released.",
+            request = request,
+            operator = operator.name
+        );
+    }
+    let records = core.ask(|state, _| state.routing().suspects().records(MAX_LISTED));
+    let suspects = records.await?;
+    Ok(SuspectsReply::Suspects(SuspectRecords { suspects }))
+}
+
 /// Returns what a message tells that is not known yet.
 ///
 /// # Errors
--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use gumdrop::Options;
+use hinge_routing::{RequestKey, RequestKeyError};
 use hinge_schema::messages::OrderKind;
 
 /// Flags that may stand anywhere on the command line, with whether they take a value.
@@ -85,6 +86,8 @@
     Undrain(UndrainOptions),
     /// let a control instance that is gone for good count no more
     RemoveControl(RemoveControlOptions),
+    /// list the requests that endpoints ended under, or release one: suspects --release REQUEST
+    Suspects(SuspectsOptions),
     /// list orders to endpoints, or place one: orders place INSTANCE KIND SUBJECT
     Orders(OrdersOptions),
     /// show how far upgrades and planned stops have come: upgrade status [NAME]
@@ -257,6 +260,16 @@
     pub(crate) instance: String,
 }
 
+/// Lists the requests that endpoints ended under and that did not complete since, those that gateways turn away first.
+#[derive(Debug, Options)]
+pub(crate) struct SuspectsOptions {
+    /// print this help
+    pub(crate) help: bool,
+    /// send this request to endpoints again, such as after a repair of the endpoints
+    #[options(no_short, meta = "REQUEST", parse(try_from_str = "request_key"))]
+    pub(crate) release: Option<String>,
+}
+
 /// Lists orders to endpoints, newest first, or places one.
 #[derive(Debug, Options)]
 pub(crate) struct OrdersOptions {
@@ -420,6 +433,12 @@
     pub(crate) window: Option<Duration>,
 }
 
+/// Checks that a text is the key of a request, as logs and `suspects` write it.
+fn request_key(text: &str) -> Result<String, RequestKeyError> {
+    let key: RequestKey = text.parse()?;
+    Ok(key.to_string())
+}
+
 /// Moves the flags of every command to the front, where the parser takes them; so they may stand after the command too.
 pub(crate) fn hoist(args: &[String]) -> Vec<String> {
     let (mut front, mut rest) = (Vec::new(), Vec::new());
--- a/crates/ctl/src/commands/mod.rs
+++ b/crates/ctl/src/commands/mod.rs
@@ -13,5 +13,6 @@
 pub(crate) mod rollback;
 pub(crate) mod shares;
 pub(crate) mod status;
+pub(crate) mod suspects;
 pub(crate) mod upgrade;
 pub(crate) mod wait;
--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -9,10 +9,11 @@
 
 use hinge_link::{CallError, Client, ClusterKey};
 use hinge_schema::messages::{
-    Accepted, Apply, ApplyReply, AskFolder, AskHistory, AskOrders, AskStatus, AskUpgrades,
-    ConfigFile, Conflict, Drain, DrainReply, Drains, Folder, FolderReply, History, HistoryReply,
-    Invalid, Orders, OrdersReply, PlaceOrder, RemoveControl, RemoveControlReply, RemovedControl,
-    Status, StatusReply, Unavailable, Upgrades, UpgradesReply,
+    Accepted, Apply, ApplyReply, AskFolder, AskHistory, AskOrders, AskStatus, AskSuspects,
+    AskUpgrades, ConfigFile, Conflict, Drain, DrainReply, Drains, Folder, FolderReply, History,
+    HistoryReply, Invalid, Orders, OrdersReply, PlaceOrder, RemoveControl, RemoveControlReply,
+    RemovedControl, Status, StatusReply, SuspectRecords, SuspectsReply, Unavailable, Upgrades,
+    UpgradesReply,
 };
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -58,6 +59,7 @@
 reply!(OrdersReply, Orders, Orders);
 reply!(UpgradesReply, Upgrades, Upgrades);
 reply!(RemoveControlReply, Removed, RemovedControl);
+reply!(SuspectsReply, Suspects, SuspectRecords);
 
 /// Holds what control decided about a change.
 #[derive(Debug)]
@@ -184,6 +186,10 @@
             .await
     }
 
+    pub(crate) async fn suspects(&self, ask: &AskSuspects) -> Result<SuspectRecords, NoAnswer> {
+        self.call::<_, SuspectsReply>("suspects", ask).await
+    }
+
     async fn ask<Q: Serialize, A: Reply>(&self, call: &str, ask: &Q) -> Result<A::Answer, Failure> {
         self.call::<_, A>(call, ask).await.map_err(|no_answer| {
             no_answer.into_failure("check --control, then ask again, or give a longer --timeout")
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -101,6 +101,7 @@
         Command::RemoveControl(options) => {
             commands::remove_control::run(&options, &link, output).await
         }
+        Command::Suspects(options) => commands::suspects::run(&options, &link, output).await,
         Command::Orders(options) => commands::orders::run(options, &link, output).await,
         Command::Upgrade(options) => commands::upgrade::run(&options, &link, output).await,
         Command::Report(options) => commands::report::run(options, &link, output).await,
--- a/crates/ctl/tests/control.rs
+++ b/crates/ctl/tests/control.rs
@@ -6,9 +6,11 @@
 
 use fake::{Desk, member, serve_pages, write_key};
 use hinge_cases::async_cases;
+use hinge_routing::RequestKey;
 use hinge_schema::messages::{
     ConfigFile, StopState, StopStatus, UpgradeState, UpgradeStatus, Upgrades,
 };
+use hinge_state::{Command, SuspectsCommand};
 use sequoiactl::Exit;
 
 const SURF: (&str, &str) = ("a.toml", "[teams.surf]\nshare = 3\n");
@@ -267,4 +269,22 @@
         let (exit, out, _) = desk.run(&["upgrade", "status", "--timeout", "10ms"]).await;
         assert_eq!((exit, &*out), (Exit::Unavailable, ""));
     }
+    a_held_request_is_listed_and_released => {
+        let desk = Desk::open().await;
+        let (exit, out, _) = desk.run(&["suspects"]).await;
+        assert_eq!((exit, out.lines().count()), (Exit::Ok, 1), "{out}");
+        let request = RequestKey::of("POST", "/a", Some("surf"), b"body");
+        for endpoint in 1..=3 {
+            desk.log.apply(Command::Suspects(SuspectsCommand {
+                ends: vec![(request, endpoint)],
+                completed: Vec::new(),
+            }));
+        }
+        let (_, out, _) = desk.run(&["suspects"]).await;
+        assert!(out.contains(&format!("{request}  3     held")), "{out}");
+        let (exit, _, notes) = desk.run(&["suspects", "--release", "12"]).await;
+        assert_eq!(exit, Exit::Invalid, "{notes}");
+        let (exit, out, _) = desk.run(&["suspects", "--release", &request.to_string()]).await;
+        assert_eq!((exit, out.contains("held")), (Exit::Ok, false), "{out}");
+    }
 }
--- a/crates/ctl/tests/fake/mod.rs
+++ b/crates/ctl/tests/fake/mod.rs
@@ -6,12 +6,14 @@
 
 use hinge_link::{ClusterKey, Limits, Server, ServerHandle, unary};
 use hinge_schema::messages::{
-    Apply, ApplyReply, AskFolder, AskHistory, AskOrders, AskStatus, AskUpgrades, ConfigFile, Drain,
-    DrainReply, Drains, Folder, FolderReply, History, HistoryReply, Member, Orders, OrdersReply,
-    PlaceOrder, RemoveControl, RemoveControlReply, RemovedControl, Role, Status, StatusReply,
-    Unavailable, Upgrades, UpgradesReply,
+    Apply, ApplyReply, AskFolder, AskHistory, AskOrders, AskStatus, AskSuspects, AskUpgrades,
+    ConfigFile, Drain, DrainReply, Drains, Folder, FolderReply, History, HistoryReply, Member,
+    Orders, OrdersReply, PlaceOrder, RemoveControl, RemoveControlReply, RemovedControl, Role,
+    Status, StatusReply, SuspectRecords, SuspectsReply, Unavailable, Upgrades, UpgradesReply,
+};
+use hinge_state::{
+    ChangeCommand, Command, DrainCommand, OrderCommand, Reply, State, SuspectsCommand,
 };
-use hinge_state::{ChangeCommand, Command, DrainCommand, OrderCommand, Reply, State};
 use http::StatusCode;
 use sequoiactl::{Environment, Exit, Streams, run};
 use serde::Serialize;
@@ -45,7 +47,7 @@
 }
 
 impl Log {
-    fn apply(&self, command: Command) -> Reply {
+    pub fn apply(&self, command: Command) -> Reply {
         let mut state = self.state.lock().expect("no test panics in here");
         let index = state.applied_index() + 1;
         state.apply(index, 1, command)
@@ -260,6 +262,23 @@
             }))
         },
     );
+    let router = serve(
+        router,
+        "suspects",
+        instance,
+        |instance, ask: AskSuspects| {
+            if let Some(released) = ask.release {
+                let request = released.parse().expect("the command line checks it");
+                instance.log.apply(Command::Suspects(SuspectsCommand {
+                    ends: Vec::new(),
+                    completed: vec![request],
+                }));
+            }
+            let state = instance.log.state.lock().expect("no test panics in here");
+            let suspects = state.routing().suspects().records(10);
+            Ok(SuspectsReply::Suspects(SuspectRecords { suspects }))
+        },
+    );
     let router = serve(router, "orders", instance, |instance, ask: AskOrders| {
         let state = instance.log.state.lock().expect("no test panics in here");
         let orders = state.orders().list(&ask.instance, 10);
--- a/crates/routing/src/suspects.rs
+++ b/crates/routing/src/suspects.rs
@@ -4,8 +4,10 @@
 //! Each end takes tens of other requests with it, and streams among them that go on elsewhere may meet the next one. A request is
 //! held after three ends without a completion between them: who was only in company completes sooner or later.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
+use hinge_schema::messages::SuspectRecord;
 use hinge_schema::routing::{Suspect as Described, SuspectList};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -65,6 +67,23 @@
             .map_or(0, |suspect| suspect.ends.len())
     }
 
+    /// Describes the requests that ends count against, those with the most first, at most so many.
+    #[must_use]
+    pub fn records(&self, most: usize) -> Vec<SuspectRecord> {
+        let suspected = self.known.iter();
+        let suspected = suspected.filter(|(_, suspect)| !suspect.ends.is_empty());
+        let mut records: Vec<SuspectRecord> = suspected
+            .map(|(request, suspect)| SuspectRecord {
+                request: request.to_string().into(),
+                ends: u32::try_from(suspect.ends.len()).unwrap_or(u32::MAX),
+                held: self.is_held(request),
+            })
+            .collect();
+        records.sort_by_key(|record| Reverse(record.ends));
+        records.truncate(most);
+        records
+    }
+
     /// Returns whether an end already counts against a request.
     #[must_use]
     pub fn has_end(&self, request: &RequestKey, endpoint: IncarnationHash) -> bool {
