Wait five seconds for word of an end in place of three

Where its admission is away as well, the next start at its address is the only word, and came too late to count against the requests that broke off. Tests: hinge-routing ends (7).

--- a/crates/routing/src/ends.rs
+++ b/crates/routing/src/ends.rs
@@ -8,7 +8,7 @@
 
 /// Time between a broken answer and word of its endpoint's end within which they belong together. Word comes from the
 /// admission within a second, and at the latest with the next start, after some seconds.
-const SAME_END: Duration = Duration::from_secs(3);
+const SAME_END: Duration = Duration::from_secs(5);
 
 /// Broken answers that wait for word of an end; more than an endpoint runs at once are not needed.
 const MOST_BROKEN: usize = 256;
