--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -209,6 +209,12 @@
     if let Some(load) = facts.load {
         in_use.saw_load(load);
     }
+    if let Some(rest) = facts.rest {
+        in_use.asks_for_rest(rest);
+    }
+    if facts.is_leaving {
+        in_use.says_that_it_leaves();
+    }
     if facts.word == Word::NotRun {
         in_use.answered();
         return Attempt::NotRun(status);
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -70,6 +70,10 @@
     pub word: Word,
     /// Its load.
     pub load: Option<Load>,
+    /// For how long it wants no request from this instance.
+    pub rest: Option<Duration>,
+    /// Whether it says that it leaves.
+    pub is_leaving: bool,
 }
 
 /// Reads and writes headers; the gateway's edge towards the wire.
--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -340,6 +340,25 @@
         known.since_load = 0;
     }
 
+    /// Notes that the endpoint wants no request from this instance for some time.
+    pub(crate) fn asks_for_rest(&self, rest: Duration) {
+        info!(
+            Part::Gateway,
+            "An endpoint asks for rest.",
+            endpoint = self.endpoint.described.id,
+            rest_ms = rest.as_millis()
+        );
+    }
+
+    /// Notes that the endpoint says in an answer that it leaves.
+    pub(crate) fn says_that_it_leaves(&self) {
+        info!(
+            Part::Gateway,
+            "An endpoint says that it leaves.",
+            endpoint = self.endpoint.described.id
+        );
+    }
+
     /// Notes that the endpoint has begun to answer.
     pub(crate) fn answered(&mut self) {
         self.is_judged = true;
