Send nothing to an endpoint for as long as it asks for rest

What endpoints saw: 17 and 37 requests from a gateway within three seconds for which they wanted none; callers got 503 after two endpoints that both rested while ten others worked.

Change: a rest is kept for each start of an endpoint, apart from its entry in the list, so that a list which drops and names it again does not end it. No request of any kind is sent there until it is over, whatever else is open, and not one that was granted a place there meanwhile. Where all endpoints of a service rest, a request is refused at once with the time until the first one takes work.

--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -17,6 +17,7 @@
 use crate::attempt::Outgoing;
 use crate::dialect::Load;
 use crate::pool::{self, Pool};
+use crate::said::Said;
 use crate::suspects::{BrokenRequest, Evidence, Suspects};
 
 /// Time that is left to an answer once it is known that its endpoint has started again: what the former start sent may wait to be
@@ -79,6 +80,7 @@
     /// Whether a connection is being opened to learn whether it has ended.
     is_probed: AtomicBool,
     suspects: Arc<Suspects>,
+    said: Arc<Said>,
 }
 
 impl Endpoint {
@@ -86,6 +88,7 @@
         described: Described,
         admitter: Option<Admitter>,
         suspects: Arc<Suspects>,
+        said: Arc<Said>,
     ) -> Self {
         Self {
             admitter,
@@ -100,9 +103,15 @@
             ends: Mutex::default(),
             is_probed: AtomicBool::new(false),
             suspects,
+            said,
         }
     }
 
+    /// Returns for how much longer it wants no request from this instance.
+    pub(crate) fn rest_left(&self) -> Option<Duration> {
+        self.said.rest_left()
+    }
+
     /// Notes that it leaves as planned.
     pub(crate) fn leaves(&self) {
         self.lock_ends().leaves();
@@ -342,12 +351,14 @@
 
     /// Notes that the endpoint wants no request from this instance for some time.
     pub(crate) fn asks_for_rest(&self, rest: Duration) {
-        info!(
-            Part::Gateway,
-            "An endpoint asks for rest.",
-            endpoint = self.endpoint.described.id,
-            rest_ms = rest.as_millis()
-        );
+        if self.endpoint.said.asks_for_rest(rest) {
+            info!(
+                Part::Gateway,
+                "An endpoint asks for rest.",
+                endpoint = self.endpoint.described.id,
+                rest_ms = rest.as_millis()
+            );
+        }
     }
 
     /// Notes that the endpoint says in an answer that it leaves.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -15,6 +15,7 @@
 
 use crate::admit::{Admitter, Ways};
 use crate::endpoint::Endpoint;
+use crate::said::Words;
 use crate::suspects::{Evidence, Suspects};
 
 /// Holds one moment's routes and endpoints.
@@ -54,6 +55,7 @@
     /// How to reach the admissions beside the endpoints; none where there are none.
     admissions: Option<Ways>,
     pub(crate) suspects: Arc<Suspects>,
+    words: Words,
     /// Control instances to tell of what is seen here, the one that is followed or some others.
     pub(crate) control: ArcSwap<Vec<Address>>,
     began: Instant,
@@ -69,6 +71,7 @@
             writer: Mutex::default(),
             admissions,
             suspects: Arc::new(suspects),
+            words: Words::default(),
             control: ArcSwap::default(),
             began: Instant::now(),
             confirmed_ms: AtomicU64::new(0),
@@ -150,7 +153,8 @@
     fn endpoint(&self, described: hinge_schema::routing::Endpoint) -> Endpoint {
         let admissions = self.admissions.as_ref();
         let admitter = admissions.map(|ways| Admitter::new(described.address, ways.clone()));
-        Endpoint::new(described, admitter, Arc::clone(&self.suspects))
+        let said = self.words.of(&described);
+        Endpoint::new(described, admitter, Arc::clone(&self.suspects), said)
     }
 
     /// Takes in a newer list of endpoints; an older one changes nothing.
@@ -160,6 +164,7 @@
         if list.version <= held.endpoints_version() {
             return;
         }
+        self.words.keep(&list.endpoints);
         let mut by_id = HashMap::new();
         let mut by_service: HashMap<Box<str>, Vec<Arc<Endpoint>>> = HashMap::new();
         let mut ready = 0_usize;
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -113,6 +113,14 @@
         self.cause = cause;
     }
 
+    /// Notes that all endpoints rest, and for how long at least.
+    fn note_rest(&mut self, shortest: Option<Duration>) {
+        if let Some(rest) = shortest {
+            self.cause = "all endpoints rest";
+            self.retry_after = Some(rest);
+        }
+    }
+
     /// Notes that an endpoint ran the request, and that its answer is not passed on.
     pub(crate) fn note_run(&mut self, cause: &'static str) {
         self.may_have_run = true;
@@ -266,10 +274,13 @@
                     return Tried::Refused(story.refusal(retry_after));
                 }
             };
-            // It may have been held while it waited for its turn.
+            // It may have been held while it waited for its turn, and the endpoint may have asked for rest.
             if self.is_held() {
                 return Tried::Refused(story.held());
             }
+            if endpoint.rest_left().is_some() {
+                continue;
+            }
             let is_tried_again = story
                 .tried
                 .last()
@@ -480,10 +491,21 @@
         // An endpoint that has left since the request came takes no more of it, and one that has started since then may.
         let fleet = self.gateway.held.current();
         let listed = fleet.of_service(&self.service);
+        let listed = listed.iter().filter(|endpoint| !endpoint.is_draining());
+        // A rest that is asked for is no preference: no request goes there, whatever else there is.
+        let mut shortest_rest: Option<Duration> = None;
         let listed: SmallVec<[&Arc<Endpoint>; 16]> = listed
-            .iter()
-            .filter(|endpoint| !endpoint.is_draining())
+            .filter(|endpoint| {
+                let rest = endpoint.rest_left();
+                let rests = rest.into_iter().chain(shortest_rest);
+                shortest_rest = rests.min();
+                rest.is_none()
+            })
             .collect();
+        if listed.is_empty() {
+            story.note_rest(shortest_rest);
+            return None;
+        }
         let is_new = |endpoint: &Arc<Endpoint>| {
             let mut known = story.tried.iter().chain(&story.refused).chain(&story.gone);
             !known.any(|known| Arc::ptr_eq(known, endpoint))
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod pool;
 mod pump;
 mod refusal;
+mod said;
 mod serve;
 mod suspects;
 mod teams;
