Send nothing to an endpoint that says in an answer that it leaves

What endpoints saw: one whose reports do not reach control, or that tells by its answers first, went on getting requests from the gateways that it had told.

Cause: the header was not read. Change: the word holds for that start of the endpoint, kept apart from its entry in the list: a later list that calls it ready does not undo it, and a request that was granted a place there meanwhile goes elsewhere.

--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -213,7 +213,7 @@
     }
 
     pub(crate) fn is_draining(&self) -> bool {
-        self.is_draining.load(Ordering::Acquire)
+        self.is_draining.load(Ordering::Acquire) || self.said.is_leaving()
     }
 
     /// Returns whether it may be sent a request now.
@@ -363,11 +363,14 @@
 
     /// Notes that the endpoint says in an answer that it leaves.
     pub(crate) fn says_that_it_leaves(&self) {
-        info!(
-            Part::Gateway,
-            "An endpoint says that it leaves.",
-            endpoint = self.endpoint.described.id
-        );
+        if self.endpoint.said.leaves() {
+            info!(
+                Part::Gateway,
+                "An endpoint says that it leaves.",
+                endpoint = self.endpoint.described.id
+            );
+        }
+        self.endpoint.leaves();
     }
 
     /// Notes that the endpoint has begun to answer.
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -274,11 +274,11 @@
                     return Tried::Refused(story.refusal(retry_after));
                 }
             };
-            // It may have been held while it waited for its turn, and the endpoint may have asked for rest.
+            // It may have been held while it waited for its turn, and the endpoint may have begun to rest or to leave.
             if self.is_held() {
                 return Tried::Refused(story.held());
             }
-            if endpoint.rest_left().is_some() {
+            if endpoint.rest_left().is_some() || endpoint.is_draining() {
                 continue;
             }
             let is_tried_again = story
--- a/crates/gateway/src/said.rs
+++ b/crates/gateway/src/said.rs
@@ -4,6 +4,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -20,6 +21,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Said {
     rests_until: Mutex<Option<Instant>>,
+    is_leaving: AtomicBool,
 }
 
 impl Said {
@@ -41,9 +43,19 @@
         (!left.is_zero()).then_some(left)
     }
 
+    /// Notes that it leaves, and returns whether it had not said so before.
+    pub(crate) fn leaves(&self) -> bool {
+        !self.is_leaving.swap(true, Ordering::AcqRel)
+    }
+
+    /// Returns whether it has said that it leaves.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::Acquire)
+    }
+
     /// Returns whether something is said that still holds.
     fn holds(&self) -> bool {
-        self.rest_left().is_some()
+        self.is_leaving() || self.rest_left().is_some()
     }
 
     fn lock(&self) -> MutexGuard<'_, Option<Instant>> {
--- a/crates/gateway/src/said/tests.rs
+++ b/crates/gateway/src/said/tests.rs
@@ -47,6 +47,15 @@
         words.keep(&[]);
         assert!(words.lock().is_empty());
     }
+    an_endpoint_that_leaves_does_so_until_it_starts_again => {
+        let words = Words::default();
+        assert!(words.of(&described("a", Some(1))).leaves());
+        assert!(!words.of(&described("a", Some(1))).leaves(), "it said so before");
+        advance(seconds(100_000)).await;
+        words.keep(&[]);
+        assert!(words.of(&described("a", Some(1))).is_leaving());
+        assert!(!words.of(&described("a", Some(2))).is_leaving());
+    }
     another_start_of_an_endpoint_has_asked_for_nothing => {
         let words = Words::default();
         words.of(&described("a", Some(1))).asks_for_rest(seconds(10));
