--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -137,7 +137,8 @@
     }
 
     /// Returns the refusal of a request that is sent to no endpoint any more.
-    fn held(&mut self) -> Refusal {
+    fn held(&mut self, job: &Job) -> Refusal {
+        job.gateway.held.suspects.note_turned_away();
         self.cause = "the request is held";
         if self.may_have_run {
             Refusal::Unknown
@@ -243,7 +244,7 @@
                 return Tried::Refused(story.refusal(NO_ENDPOINT_RETRY));
             }
             if self.is_held() {
-                return Tried::Refused(story.held());
+                return Tried::Refused(story.held(self));
             }
             let Some(endpoint) = self.pick(story) else {
                 let retry_after = story.retry_after.unwrap_or(NO_ENDPOINT_RETRY);
@@ -276,7 +277,7 @@
             };
             // It may have been held while it waited for its turn, and the endpoint may have begun to rest or to leave.
             if self.is_held() {
-                return Tried::Refused(story.held());
+                return Tried::Refused(story.held(self));
             }
             if endpoint.rest_left().is_some() || endpoint.is_draining() {
                 continue;
