Take an answer that ends with its connection for no proof of its completion

Found by reading: an answer without a length ends with its connection, and so does one whose endpoint ends. Passed on as complete, it cleared the request under which the endpoint had ended. Only an answer whose end shows by itself clears now; a stream that ends in the middle of an event counts as broken off.

--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -4,10 +4,13 @@
 
 use http::HeaderMap;
 use http::header::{
-    CONNECTION, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
+    CONNECTION, CONTENT_LENGTH, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
     TRANSFER_ENCODING, UPGRADE,
 };
 
+#[cfg(test)]
+mod tests;
+
 /// Header in which a peer says for how long it keeps an idle connection.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
@@ -57,3 +60,8 @@
     let seconds = parts.find_map(|part| part.trim().strip_prefix("timeout="))?;
     seconds.parse().ok().map(Duration::from_secs)
 }
+
+/// Returns whether an answer's end shows by itself, and not only by that of its connection.
+pub(crate) fn has_own_end(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -11,6 +11,7 @@
 use crate::attempt::Answer;
 use crate::body::PieceSender;
 use crate::events::EventSplitter;
+use crate::headers;
 use crate::job::{Job, Story};
 
 /// How long after the caller's time a stream is cut. The endpoint ends by itself at the time that it was told; this is for
@@ -70,9 +71,6 @@
         Ended::Broken | Ended::TimedOut => pieces.break_off().await,
         Ended::CallerLeft => Ok(()),
     };
-    if ended == Ended::Complete && (200..300).contains(&story.status) {
-        job.completed(&story);
-    }
     job.gateway.metrics.ended(&job, ended.name());
     story.tell(&job, ended.name());
 }
@@ -89,6 +87,9 @@
         connection,
         mut in_use,
     } = *answer;
+    // An answer that ends with its connection may as well end with its endpoint.
+    let proves_completion =
+        response.status().is_success() && headers::has_own_end(response.headers());
     let mut body = response.into_body();
     let mut has_begun = false;
     let may_go_on = splitter.is_some() && job.outgoing.may_go_on;
@@ -130,10 +131,14 @@
     }
     // An end in the middle of an event is none.
     if splitter.is_some_and(|splitter| splitter.is_inside()) {
+        in_use.broke(&job.outgoing);
         return Ended::Broken;
     }
     drop(in_use);
     connection.keep();
+    if proves_completion {
+        job.completed(story);
+    }
     Ended::Complete
 }
 
