Split what has happened to a request out of the attempts at it

Story, its refusals and the line of the request's end move to story.rs as they were; no behaviour changes.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod refusal;
 mod said;
 mod serve;
+mod story;
 mod suspects;
 mod teams;
 mod tell;
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -12,7 +12,8 @@
 use crate::body::PieceSender;
 use crate::events::EventSplitter;
 use crate::headers;
-use crate::job::{Job, Story};
+use crate::job::Job;
+use crate::story::Story;
 
 /// How long after the caller's time a stream is cut. The endpoint ends by itself at the time that it was told; this is for
 /// one that doesn't.
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -22,10 +22,11 @@
 use crate::fleet::Fleet;
 use crate::gateway::Shared;
 use crate::headers::strip_connection;
-use crate::job::{Job, Story, Tried, tokens_of};
+use crate::job::{Job, Tried};
 use crate::load::Running;
 use crate::pump;
 use crate::refusal::Refusal;
+use crate::story::{Story, tokens_of};
 
 /// Type of an answer of events.
 const EVENT_STREAM: &str = "text/event-stream";
--- /dev/null
+++ b/crates/gateway/src/story.rs
@@ -0,0 +1,150 @@
+//! Holds what has happened to a request, and writes the line of its end.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hinge_routing::Prompt;
+use hinge_telemetry::log::{Level, Part};
+use hinge_telemetry::record;
+use smallvec::SmallVec;
+
+use crate::endpoint::Endpoint;
+use crate::job::Job;
+use crate::refusal::Refusal;
+
+/// Holds what has happened to a request so far.
+#[derive(Debug, Default)]
+pub(crate) struct Story {
+    /// Endpoints that were sent the request; one that starts again under its id is another one.
+    pub(crate) tried: SmallVec<[Arc<Endpoint>; 2]>,
+    /// Endpoints whose admission has refused.
+    pub(crate) refused: SmallVec<[Arc<Endpoint>; 2]>,
+    /// Endpoints whose admission said that its engine is gone.
+    pub(crate) gone: SmallVec<[Arc<Endpoint>; 2]>,
+    /// When the first admission that refused expects room.
+    pub(crate) retry_after: Option<Duration>,
+    /// Engine from which the last one that was sent the request copies the shared parts.
+    pub(crate) fetched_from: Option<SocketAddr>,
+    pub(crate) waited_ms: u64,
+    pub(crate) ahead_tokens: u32,
+    /// Attempts that reached an endpoint.
+    pub(crate) attempts: u32,
+    /// Attempts of which no byte was sent, though a place was granted or none was needed.
+    pub(crate) not_sent: u32,
+    pub(crate) running: u32,
+    pub(crate) load_age_ms: u128,
+    pub(crate) candidates: usize,
+    /// Whether an endpoint may have run the request, so that nobody may say that it did not.
+    pub(crate) may_have_run: bool,
+    pub(crate) first_piece: Option<Duration>,
+    pub(crate) status: u16,
+    pub(crate) cause: &'static str,
+}
+
+impl Story {
+    /// Notes a piece that is passed on.
+    pub(crate) fn note_piece(&mut self, job: &Job) {
+        if self.first_piece.is_none() {
+            let time = job.arrived.elapsed();
+            self.first_piece = Some(time);
+            job.gateway.metrics.first_piece(job, time.as_secs_f64());
+        }
+    }
+
+    /// Notes why an answer did not come to its end.
+    pub(crate) fn note_cause(&mut self, cause: &'static str) {
+        self.cause = cause;
+    }
+
+    /// Notes that all endpoints rest, and for how long at least.
+    pub(crate) fn note_rest(&mut self, shortest: Option<Duration>) {
+        if let Some(rest) = shortest {
+            self.cause = "all endpoints rest";
+            self.retry_after = Some(rest);
+        }
+    }
+
+    /// Notes that an endpoint ran the request, and that its answer is not passed on.
+    pub(crate) fn note_run(&mut self, cause: &'static str) {
+        self.may_have_run = true;
+        self.cause = cause;
+    }
+
+    /// Returns the refusal of a request for which no endpoint is left.
+    pub(crate) fn refusal(&self, retry_after: Duration) -> Refusal {
+        if self.may_have_run {
+            Refusal::Unknown
+        } else {
+            Refusal::NotRun { retry_after }
+        }
+    }
+
+    /// Returns the refusal of a request that is sent to no endpoint any more.
+    pub(crate) fn held(&mut self, job: &Job) -> Refusal {
+        job.gateway.held.suspects.note_turned_away();
+        self.cause = "the request is held";
+        if self.may_have_run {
+            Refusal::Unknown
+        } else {
+            Refusal::Held
+        }
+    }
+
+    /// Writes the line of the request's end.
+    pub(crate) fn tell(&self, job: &Job, outcome: &str) {
+        let (prompt_tokens, answer_tokens) = tokens_of(job.prompt.as_ref());
+        // Lines of failures are the last ones that are dropped when nobody takes them.
+        let level = match outcome {
+            "unknown" | "broken_off" | "timed_out" => Level::Warn,
+            _ => Level::Info,
+        };
+        record!(
+            level,
+            Part::Gateway,
+            "Request.",
+            id = job.outgoing.request_id.as_deref().unwrap_or("-"),
+            outcome = outcome,
+            status = self.status,
+            cause = self.cause,
+            route = job.route.name,
+            team = job.outgoing.team.as_deref().unwrap_or("-"),
+            prompt_tokens = prompt_tokens,
+            answer_tokens = answer_tokens,
+            endpoints = ids_of(&self.tried),
+            refused_by = ids_of(&self.refused),
+            gone = ids_of(&self.gone),
+            fetched_from = self
+                .fetched_from
+                .map_or_else(String::new, |from| from.to_string()),
+            waited_ms = self.waited_ms,
+            ahead_tokens = self.ahead_tokens,
+            attempts = self.attempts,
+            not_sent = self.not_sent,
+            candidates = self.candidates,
+            running = self.running,
+            load_age_ms = self.load_age_ms,
+            table = job.fleet.table_number(),
+            table_age_ms = job.gateway.held.age().as_millis(),
+            list = job.fleet.endpoints_version(),
+            first_ms = self.first_piece.map_or(0, |time| time.as_millis()),
+            ms = job.arrived.elapsed().as_millis()
+        );
+    }
+}
+
+/// Returns the tokens of a request's prompt, and the most of its answer; none of a plain one.
+pub(crate) fn tokens_of(prompt: Option<&Prompt>) -> (u32, u32) {
+    prompt.map_or((0, 0), |prompt| {
+        (prompt.prompt_tokens, prompt.max_answer_tokens)
+    })
+}
+
+/// Returns the ids of some endpoints, for a log line.
+fn ids_of(endpoints: &[Arc<Endpoint>]) -> String {
+    let ids: SmallVec<[&str; 2]> = endpoints
+        .iter()
+        .map(|endpoint| &*endpoint.described.id)
+        .collect();
+    ids.join(",")
+}
