Count by limit what a gateway turns away, and show a team's requests by gateway

What callers saw could not be told apart after the fact: a refusal did not say which limit it met, attempts to connect while nobody listens are in no line, and sequoiactl shares added all gateways up.

No decision is changed.

--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -132,6 +132,9 @@
     /// show also what became of this team's requests, second by second
     #[options(no_short, meta = "TEAM")]
     pub(crate) team: Option<String>,
+    /// with --team: show that for each gateway, and how it took connections
+    #[options(no_short)]
+    pub(crate) gateways: bool,
     /// logs of the processes, a file each; - reads standard input
     #[options(free)]
     pub(crate) logs: Vec<String>,
--- a/crates/ctl/src/commands/shares.rs
+++ b/crates/ctl/src/commands/shares.rs
@@ -10,7 +10,7 @@
 use crate::logs::read_all;
 use crate::output::Output;
 use crate::shares::{Shares, add_up};
-use crate::stages::{Short, Stages};
+use crate::stages::{Door, Short, StageTable, Stages};
 
 /// Runs `shares`.
 pub(crate) fn run(options: &SharesOptions, output: &mut Output<'_, '_>) -> Result<Exit, Failure> {
@@ -28,10 +28,26 @@
         shares,
         short,
         stages: stages.collect(),
+        gateways: if options.gateways {
+            at_gateways(&table, team)
+        } else {
+            Vec::new()
+        },
     })?;
     Ok(exit)
 }
 
+fn at_gateways(table: &StageTable, team: &str) -> Vec<AtGateway> {
+    let places = table.at_gateways(team);
+    let places = places.map(|(second, gateway, stages, door)| AtGateway {
+        second,
+        gateway: gateway.into(),
+        stages,
+        door,
+    });
+    places.collect()
+}
+
 /// Holds what became of a team's requests in one second from the first line on.
 #[derive(Serialize)]
 struct Second {
@@ -40,12 +56,24 @@
     stages: Stages,
 }
 
+/// Holds what became of them at one gateway.
+#[derive(Serialize)]
+struct AtGateway {
+    second: u64,
+    gateway: Box<str>,
+    #[serde(flatten)]
+    stages: Stages,
+    /// None where the gateway turned nothing away.
+    door: Option<Door>,
+}
+
 #[derive(Serialize)]
 struct Shown {
     #[serde(flatten)]
     shares: Shares,
     short: Vec<Short>,
     stages: Vec<Second>,
+    gateways: Vec<AtGateway>,
 }
 
 impl Display for Shown {
@@ -81,6 +109,17 @@
         for Second { second, stages } in &self.stages {
             writeln!(f, "{second} s: {stages}")?;
         }
+        for at in &self.gateways {
+            write!(f, "{} s, {}: {}", at.second, at.gateway, at.stages)?;
+            if let Some(Door {
+                connections,
+                shut_ms,
+            }) = at.door
+            {
+                write!(f, "; connections {connections}, shut {shut_ms} ms")?;
+            }
+            writeln!(f)?;
+        }
         Ok(())
     }
 }
--- a/crates/ctl/src/logs.rs
+++ b/crates/ctl/src/logs.rs
@@ -20,6 +20,9 @@
 /// Sentence of the line that an admission writes of its engine once a second.
 pub(crate) const ENGINE: &str = "Engine.";
 
+/// Sentence of the line that a gateway writes of its load, for a second in which it turned something away.
+pub(crate) const LOAD: &str = "Load.";
+
 /// Holds one line with the process that wrote it.
 pub(crate) struct Logged {
     pub(crate) process: Box<str>,
--- a/crates/ctl/src/shares.rs
+++ b/crates/ctl/src/shares.rs
@@ -6,8 +6,8 @@
 use hinge_telemetry::parse::Line;
 use serde::Serialize;
 
-use crate::logs::{ENGINE, GRANTED, REFUSED, REQUEST_ENDED, read_lines};
-use crate::stages::{Event, StageTable, events_of_request};
+use crate::logs::{ENGINE, GRANTED, LOAD, REFUSED, REQUEST_ENDED, read_lines};
+use crate::stages::{DoorEvent, Event, StageTable, events_of_request};
 
 /// Time over which the service of teams is compared; shares are owed over some four seconds.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -66,12 +66,14 @@
     let mut shares = Shares::default();
     let mut decisions = Vec::new();
     let mut events = Vec::new();
+    let mut doors = Vec::new();
     for logged in read_lines(logs) {
         let line = &logged.line;
         match &*line.sentence {
             GRANTED | REFUSED => decisions.extend(Decision::read(line)),
             ENGINE => note_engine(&mut shares, &logged.process, line),
-            REQUEST_ENDED => events.extend(events_of_request(line)),
+            REQUEST_ENDED => events.extend(events_of_request(line, &logged.process)),
+            LOAD => doors.extend(DoorEvent::read(line, &logged.process)),
             _ => {}
         }
     }
@@ -88,7 +90,7 @@
             share.refused_tokens += decision.tokens;
         }
     }
-    (shares, StageTable::of(&events))
+    (shares, StageTable::of(&events, doors))
 }
 
 /// Holds what an admission decided on an ask.
--- a/crates/ctl/src/stages.rs
+++ b/crates/ctl/src/stages.rs
@@ -20,6 +20,9 @@
 /// Largest requests of a team that don't count when it is compared.
 const SLACK_REQUESTS: u64 = 3;
 
+/// Time over which a gateway counts connections; its line stands at the end of it.
+const COUNTED_OVER: Duration = Duration::from_secs(1);
+
 /// Outcome of a request that a gateway had no room for.
 const OVERLOADED: &str = "overloaded";
 
@@ -51,18 +54,41 @@
     pub(crate) best_begun_tokens: u64,
 }
 
+/// Holds how a gateway took connections in one second in which it turned something away.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
+pub(crate) struct Door {
+    pub(crate) connections: u64,
+    /// Time for which it did not listen; attempts in it are in no line.
+    pub(crate) shut_ms: u64,
+}
+
 /// Holds the stages of each team in each second from the first line on.
 #[derive(Debug, Default)]
 pub(crate) struct StageTable {
     teams: BTreeMap<Box<str>, Team>,
+    doors: BTreeMap<(u64, Box<str>), Door>,
 }
 
 #[derive(Debug, Default)]
 struct Team {
     seconds: BTreeMap<u64, Stages>,
+    /// The same by second and gateway; grants are no gateway's.
+    gateways: BTreeMap<(u64, Box<str>), Stages>,
     largest_tokens: u64,
 }
 
+impl Stages {
+    fn add(&mut self, event: &Event) {
+        *match event.stage {
+            Stage::Asked => &mut self.asked_tokens,
+            Stage::Overloaded => &mut self.overloaded_tokens,
+            Stage::NotRun => &mut self.not_run_tokens,
+            Stage::Granted => &mut self.granted_tokens,
+            Stage::Begun => &mut self.begun_tokens,
+        } += event.tokens;
+    }
+}
+
 enum Stage {
     Asked,
     Overloaded,
@@ -73,11 +99,16 @@
 
 impl StageTable {
     /// Sorts events, in any order, by team and second.
-    pub(crate) fn of(events: &[Event]) -> Self {
+    pub(crate) fn of(events: &[Event], doors: Vec<DoorEvent>) -> Self {
         let mut table = Self::default();
         let first = events.iter().map(|event| event.at).min();
+        let first = first.unwrap_or_default();
         for event in events {
-            table.add(event, first.unwrap_or_default());
+            table.add(event, first);
+        }
+        for DoorEvent { at, gateway, door } in doors {
+            let second = at.saturating_sub(first).as_secs();
+            table.doors.insert((second, gateway), door);
         }
         table
     }
@@ -86,15 +117,11 @@
         let second = event.at.saturating_sub(first).as_secs();
         let team = self.teams.entry(event.team.clone()).or_default();
         team.largest_tokens = team.largest_tokens.max(event.tokens);
-        let stages = team.seconds.entry(second).or_default();
-        let sum = match event.stage {
-            Stage::Asked => &mut stages.asked_tokens,
-            Stage::Overloaded => &mut stages.overloaded_tokens,
-            Stage::NotRun => &mut stages.not_run_tokens,
-            Stage::Granted => &mut stages.granted_tokens,
-            Stage::Begun => &mut stages.begun_tokens,
-        };
-        *sum += event.tokens;
+        team.seconds.entry(second).or_default().add(event);
+        if let Some(gateway) = &event.gateway {
+            let place = (second, gateway.clone());
+            team.gateways.entry(place).or_default().add(event);
+        }
     }
 
     /// Returns the seconds of one team, in order.
@@ -104,6 +131,19 @@
             .map(|(second, stages)| (*second, *stages))
     }
 
+    /// Returns the seconds of one team at each gateway, in order, with how the gateway took connections.
+    pub(crate) fn at_gateways(
+        &self,
+        team: &str,
+    ) -> impl Iterator<Item = (u64, &str, Stages, Option<Door>)> {
+        let team = self.teams.get(team).into_iter();
+        let places = team.flat_map(|team| team.gateways.iter());
+        places.map(|(place, stages)| {
+            let (second, gateway) = place;
+            (*second, &**gateway, *stages, self.doors.get(place).copied())
+        })
+    }
+
     /// Returns the teams that were turned away in each second of a window and had less than half of what they asked for or the best
     /// served team had, whichever is less, second by second.
     pub(crate) fn short_teams(&self) -> Vec<Short> {
@@ -175,6 +215,28 @@
     team: Box<str>,
     tokens: u64,
     stage: Stage,
+    /// Gateway that wrote of it; none where an admission did.
+    gateway: Option<Box<str>>,
+}
+
+/// Tells how a gateway took connections in the second before a moment.
+pub(crate) struct DoorEvent {
+    at: Duration,
+    gateway: Box<str>,
+    door: Door,
+}
+
+impl DoorEvent {
+    pub(crate) fn read(line: &Line, gateway: &str) -> Option<Self> {
+        Some(Self {
+            at: unix_time(line)?.saturating_sub(COUNTED_OVER / 2),
+            gateway: gateway.into(),
+            door: Door {
+                connections: number(line, "connections"),
+                shut_ms: number(line, "shut_ms"),
+            },
+        })
+    }
 }
 
 impl Event {
@@ -185,12 +247,13 @@
             team: decision.team.clone(),
             tokens: decision.tokens,
             stage: Stage::Granted,
+            gateway: None,
         })
     }
 }
 
 /// Returns the stages of a request that has ended, by the line of its end; none of a plain one.
-pub(crate) fn events_of_request(line: &Line) -> Vec<Event> {
+pub(crate) fn events_of_request(line: &Line, gateway: &str) -> Vec<Event> {
     let (Some(ended), Some(team)) = (unix_time(line), line.get("team")) else {
         return Vec::new();
     };
@@ -212,6 +275,7 @@
             team: team.into(),
             tokens,
             stage,
+            gateway: Some(gateway.into()),
         })
         .collect()
 }
--- a/crates/ctl/tests/shares.rs
+++ b/crates/ctl/tests/shares.rs
@@ -77,6 +77,18 @@
         let second = "3 s: asked 20000, overloaded 10000, not run 10000, granted 1000, began 0";
         assert!(text.contains(second), "{text}");
     }
+    a_teams_requests_are_shown_by_gateway_with_the_time_for_which_it_did_not_listen => {
+        let [gateway, admission] = a_team_that_is_short();
+        let load = "2026-06-07T07:03:33.950Z info [gateway] Load. connections=7 begun=2 refused_hot_teams=10 shut_ms=320 limit=24 lag_ms=82";
+        let other = "2026-06-07T07:03:33.600Z info [gateway] Request. outcome=complete team=surf prompt_tokens=500 answer_tokens=0 first_ms=20 ms=100";
+        let logs = [format!("{}\n{load}", gateway.join("\n")), admission.join("\n"), other.into()];
+        let (_, text) = shares_with(&["--team", "surf", "--gateways"], &[&logs[0], &logs[1], &logs[2]]);
+        let flooded = "3 s, side-0: asked 20000, overloaded 10000, not run 10000, granted 0, began 0; connections 7, shut 320 ms";
+        assert!(text.contains(flooded), "{text}");
+        let calm = "3 s, side-2: asked 500, overloaded 0, not run 0, granted 0, began 500\n";
+        assert!(text.contains(calm), "{text}");
+        assert!(!text.contains("side-1:"), "an admission is no gateway: {text}");
+    }
     a_team_that_does_not_wait_is_not_short => {
         let [mut gateway, admission] = a_team_that_is_short();
         gateway.retain(|line| !line.contains(":33."));
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hinge_routing::Overloaded;
+use hinge_routing::{Bound, Overloaded, Tally};
 use hinge_telemetry::log::Part;
 use hinge_telemetry::readiness::{Readiness, Reason};
 use hinge_telemetry::{info, warn};
@@ -17,11 +17,15 @@
 /// Least time between two lines about the load, while it is too much.
 const TELL_EVERY: Duration = Duration::from_secs(1);
 
+/// Time over which what is taken and turned away is counted.
+const COUNT_EVERY: Duration = Duration::from_secs(1);
+
 /// Notes how late ticks come, until the task is aborted.
 pub(crate) async fn watch_lag(shared: Arc<Shared>, readiness: Arc<Readiness>) {
     let began = Instant::now();
     let (mut was_short, mut was_full, mut was_guarded) = (false, false, false);
     let mut told_at = began;
+    let mut counted_at = began;
     loop {
         let due = Instant::now() + TICK;
         sleep_until(due).await;
@@ -76,9 +80,34 @@
             );
         }
         was_short = is_short;
+        if counted_at.elapsed() >= COUNT_EVERY {
+            counted_at = now;
+            let tally = shared.overload().take_tally();
+            shared.metrics.count(&tally);
+            if tally.has_turned_away() {
+                tell(&tally, limit, lag);
+            }
+        }
     }
 }
 
+/// Writes what was taken and turned away, and why.
+fn tell(tally: &Tally, limit: u32, lag: Duration) {
+    info!(
+        Part::Gateway,
+        "Load.",
+        connections = tally.connections,
+        begun = tally.begun,
+        refused_all = tally.refused_at(Bound::All),
+        refused_hot_teams = tally.refused_at(Bound::HotTeams),
+        refused_other_teams = tally.refused_at(Bound::OtherTeams),
+        refused_lag = tally.refused_at(Bound::Lag),
+        shut_ms = tally.shut.as_millis(),
+        limit = limit,
+        lag_ms = lag.as_millis()
+    );
+}
+
 /// Holds the place of a request under way.
 #[derive(Debug)]
 pub(crate) struct Running {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counts a gateway's work.
 
+use hinge_routing::{Bound, Tally};
 use hinge_telemetry::metrics::{HistogramFamily, LATENCY_SECONDS, Registry, TeamLabels};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -8,6 +9,7 @@
 use crate::job::Job;
 
 type OutcomeLabels = [(&'static str, Box<str>); 2];
+type BoundLabels = [(&'static str, &'static str); 1];
 type RouteLabels = [(&'static str, Box<str>); 1];
 
 /// Holds a gateway's counters and histograms.
@@ -22,6 +24,8 @@
     pub(crate) connections: Counter,
     pub(crate) connections_closed: Counter,
     pub(crate) resumed: Counter,
+    refused: Family<BoundLabels, Counter>,
+    shut_ms: Counter,
     /// Time since control last confirmed the route table, in milliseconds.
     pub(crate) table_age_ms: Gauge,
 }
@@ -54,6 +58,14 @@
                 "Connections of callers that were closed because there were too many.",
             ),
             resumed: registry.counter("gateway_resumed", "Streams that went on elsewhere."),
+            refused: registry.counters(
+                "gateway_refused",
+                "Requests turned away for want of room, by the limit that they met.",
+            ),
+            shut_ms: registry.counter(
+                "gateway_shut_ms",
+                "Milliseconds in which nobody listened for connections; attempts in them fail uncounted.",
+            ),
             table_age_ms: registry.gauge(
                 "gateway_table_age_ms",
                 "Milliseconds since control last confirmed the route table, as of the last answer or failure.",
@@ -81,6 +93,17 @@
         self.requests.get_or_create(&labels).inc();
     }
 
+    /// Adds what the limits of the load have counted.
+    pub(crate) fn count(&self, tally: &Tally) {
+        for bound in Bound::ALL {
+            let labels = [("bound", bound.name())];
+            let refused = tally.refused_at(bound);
+            self.refused.get_or_create(&labels).inc_by(refused.into());
+        }
+        let shut_ms = u64::try_from(tally.shut.as_millis()).unwrap_or(u64::MAX);
+        self.shut_ms.inc_by(shut_ms);
+    }
+
     /// Notes the time to the first piece of an answer.
     pub(crate) fn first_piece(&self, job: &Job, seconds: f64) {
         let route = self.route_labels.label(&job.route.name);
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -243,6 +243,7 @@
         team = team.unwrap_or("-"),
         prompt_tokens = prompt_tokens,
         answer_tokens = answer_tokens,
+        bound = overloaded.bound.name(),
         running = overloaded.running,
         limit = overloaded.limit,
         team_running = overloaded.team_running,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -20,6 +20,7 @@
 mod request_key;
 mod standing;
 mod suspects;
+mod tally;
 mod targets;
 
 pub use budget::{Budget, BudgetRules};
@@ -35,4 +36,5 @@
 pub use request_key::{RequestKey, RequestKeyError};
 pub use standing::{Standing, StandingRules};
 pub use suspects::Suspects;
+pub use tally::{Bound, Tally};
 pub use targets::{Address, Targets};
--- a/crates/routing/src/overload.rs
+++ b/crates/routing/src/overload.rs
@@ -19,6 +19,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use crate::tally::{Bound, Tally};
+
 /// Sets when a gateway turns requests away.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct OverloadRules {
@@ -122,6 +124,8 @@
 /// Says why a request is turned away.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Overloaded {
+    /// Limit that there was no room within.
+    pub bound: Bound,
     /// Requests under way, and how many there may be.
     pub running: u32,
     /// Limit at the moment.
@@ -205,6 +209,8 @@
     /// Windows for which new connections are still counted, and how many may be taken in this one.
     guarded_windows: u32,
     connections_left: u32,
+    tally: Tally,
+    ticked_at: Duration,
 }
 
 impl Overload {
@@ -232,11 +238,17 @@
             windows_full: 0,
             guarded_windows: 0,
             connections_left: 0,
+            tally: Tally::default(),
+            ticked_at: Duration::ZERO,
         }
     }
 
     /// Notes how late a tick came.
     pub fn ticked(&mut self, now: Duration, lag: Duration) {
+        if self.is_closed() {
+            self.tally.shut += now.saturating_sub(self.ticked_at);
+        }
+        self.ticked_at = now;
         self.least_lag = Some(self.least_lag.map_or(lag, |least| least.min(lag)));
         if now < self.window_ends {
             return;
@@ -323,16 +335,18 @@
     pub fn try_begin(&mut self, team: &str) -> Result<(), Overloaded> {
         let team_running = self.teams.get(team).copied().unwrap_or_default();
         let is_hot = self.asked.note(team);
-        let room_permille = match (is_hot, self.asked.has_hot) {
-            (true, _) => self.shared_permille,
-            (false, true) => OTHERS_PERMILLE,
-            (false, false) => 1_000,
+        let (bound, permille) = match (is_hot, self.asked.has_hot) {
+            (true, _) => (Bound::HotTeams, self.shared_permille),
+            (false, true) => (Bound::OtherTeams, OTHERS_PERMILLE),
+            (false, false) => (Bound::All, 1_000),
         };
-        let room = self.limit * room_permille / 1000;
+        let room = self.limit * permille / 1000;
         if self.running >= room.max(1) {
             self.refused += 1;
             self.refused_others += u32::from(!is_hot);
+            self.tally.refuse(bound);
             return Err(Overloaded {
+                bound,
                 running: self.running,
                 limit: self.limit,
                 team_running,
@@ -341,6 +355,7 @@
         }
         self.running += 1;
         self.begun += 1;
+        self.tally.begun += 1;
         self.used = self.used.max(self.running);
         if let Some(count) = self.teams.get_mut(team) {
             *count += 1;
@@ -372,11 +387,13 @@
     /// # Errors
     ///
     /// Returns the lag.
-    pub fn check_plain(&self) -> Result<(), Overloaded> {
+    pub fn check_plain(&mut self) -> Result<(), Overloaded> {
         if self.lag <= self.rules.plain_lag {
             return Ok(());
         }
+        self.tally.refuse(Bound::Lag);
         Err(Overloaded {
+            bound: Bound::Lag,
             running: self.running,
             limit: self.limit,
             team_running: 0,
@@ -404,6 +421,12 @@
     /// Notes that a connection was taken.
     pub fn connected(&mut self) {
         self.connections_left = self.connections_left.saturating_sub(1);
+        self.tally.connections += 1;
+    }
+
+    /// Takes the counts since they were last taken.
+    pub fn take_tally(&mut self) -> Tally {
+        std::mem::take(&mut self.tally)
     }
 
     /// Returns whether new connections are counted, since refusing requests would take the processor from those that are served.
