--- a/crates/daemon/src/roles/gateway.rs
+++ b/crates/daemon/src/roles/gateway.rs
@@ -7,7 +7,7 @@
 use anyhow::{Context as _, Result, bail};
 use hinge_gateway::{Gateway, GatewaySettings};
 use hinge_platform::Headers;
-use hinge_routing::{BudgetRules, ChoiceRules};
+use hinge_routing::{BudgetRules, ChoiceRules, OverloadRules};
 use hinge_telemetry::log::Part;
 use hinge_telemetry::readiness::Reason;
 
@@ -48,6 +48,7 @@
         max_spill_tokens: given.max_spill_tokens,
         max_connections: given.max_connections,
         lost_grace: LOST_GRACE,
+        overload: OverloadRules::default(),
     };
     let gateway = Gateway::bind(
         settings,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -77,6 +77,8 @@
     pub max_connections: u32,
     /// Each of two waits for the rest of an answer that an engine no longer works on.
     pub lost_grace: Duration,
+    /// When requests are turned away for want of room.
+    pub overload: OverloadRules,
 }
 
 /// Holds what the requests of a gateway share.
@@ -219,7 +221,7 @@
             connections: Connections::new(settings.max_connections),
             is_closed: watch::Sender::new(false),
             stops_at: OnceLock::new(),
-            overload: Mutex::new(Overload::new(OverloadRules::default())),
+            overload: Mutex::new(Overload::new(settings.overload)),
             budget_rules: settings.budget,
             budgets: Mutex::default(),
             teams: Mutex::default(),
