--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,6 +7,7 @@
 //! [`Targets`] names the control instances that it asks. [`Ends`] tells which requests an endpoint took with it when it ended, by
 //! their [`RequestKey`], and [`Suspects`] which of those ends its endpoints.
 
+mod asked;
 mod budget;
 mod check;
 mod choose;
--- a/crates/routing/src/overload.rs
+++ b/crates/routing/src/overload.rs
@@ -19,6 +19,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use crate::asked::Asked;
 use crate::tally::{Bound, Tally};
 
 /// Sets when a gateway turns requests away.
@@ -84,15 +85,6 @@
 /// What the others may fill of the limit, in thousandths: a little more than all of it, since hot teams brought it down.
 const OTHERS_PERMILLE: u32 = 1_250;
 
-/// Times an even share of what is asked for from which on a team is hot.
-const HOT_TIMES: f64 = 1.5;
-
-/// Part of what a team has asked for that counts after a window: a second is remembered.
-const ASKED_KEPT: f64 = 0.8;
-
-/// What a team has asked for below which it is forgotten.
-const FORGET_BELOW: f64 = 0.1;
-
 /// Windows in a row with many requests turned away, after which new connections are asked to go elsewhere.
 const FULL_AFTER_WINDOWS: u32 = 2;
 
@@ -136,46 +128,6 @@
     pub lag: Duration,
 }
 
-/// Counts what each team has asked for lately, to tell the hot ones.
-#[derive(Debug, Default)]
-struct Asked {
-    teams: HashMap<Box<str>, f64>,
-    total: f64,
-    /// Whether a hot team has asked in this window or the one before, and in this one.
-    has_hot: bool,
-    had_hot: bool,
-}
-
-impl Asked {
-    /// Counts a request, and returns whether its team asks for far more than an even share.
-    fn note(&mut self, team: &str) -> bool {
-        self.total += 1.0;
-        let asked = if let Some(asked) = self.teams.get_mut(team) {
-            *asked += 1.0;
-            *asked
-        } else {
-            self.teams.insert(team.into(), 1.0);
-            1.0
-        };
-        #[expect(clippy::cast_precision_loss, reason = "teams are far fewer than 2^52")]
-        let even = self.total / self.teams.len() as f64;
-        let is_hot = asked > even * HOT_TIMES;
-        self.has_hot |= is_hot;
-        self.had_hot |= is_hot;
-        is_hot
-    }
-
-    /// Lets what was asked for earlier count less.
-    fn fade(&mut self) {
-        self.teams.retain(|_, asked| {
-            *asked *= ASKED_KEPT;
-            *asked >= FORGET_BELOW
-        });
-        self.total = self.teams.values().sum();
-        self.has_hot = std::mem::take(&mut self.had_hot);
-    }
-}
-
 /// Limits the requests under way at one gateway.
 #[derive(Debug)]
 pub struct Overload {
