--- a/crates/control/src/watchers/tests.rs
+++ b/crates/control/src/directory/tests.rs
@@ -4,22 +4,26 @@
 
 use hinge_cases::cases;
 
-use super::{NAMED, REMEMBER, Watchers};
+use super::Directory;
 
-fn five() -> Watchers {
-    let mut watchers = Watchers::default();
+const REMEMBER: Duration = Duration::from_secs(10);
+
+const MOST_NAMED: usize = 3;
+
+fn five() -> Directory {
+    let mut directory = Directory::new(REMEMBER, MOST_NAMED);
     for number in 1..=5 {
         let (name, address) = (format!("gateway-{number}"), format!("10.0.0.{number}:1"));
-        watchers.note(Duration::ZERO, &name, &address);
+        directory.note(Duration::ZERO, &name, &address);
     }
-    watchers
+    directory
 }
 
 cases! {
     a_gateway_is_named_others_and_never_itself => {
         for draw in 0..10 {
             let named = five().others("gateway-2", draw);
-            assert_eq!(named.len(), NAMED);
+            assert_eq!(named.len(), MOST_NAMED);
             assert!(!named.contains(&"10.0.0.2:1".into()), "{named:?}");
         }
     }
@@ -30,13 +34,13 @@
         assert_eq!(named.len(), 4);
     }
     the_only_gateway_is_named_nobody => {
-        let mut watchers = Watchers::default();
-        watchers.note(Duration::ZERO, "gateway-1", "10.0.0.1:1");
-        assert!(watchers.others("gateway-1", 7).is_empty());
+        let mut directory = Directory::new(REMEMBER, MOST_NAMED);
+        directory.note(Duration::ZERO, "gateway-1", "10.0.0.1:1");
+        assert!(directory.others("gateway-1", 7).is_empty());
     }
     one_that_has_long_been_silent_is_not_named => {
-        let mut watchers = five();
-        watchers.note(REMEMBER, "gateway-6", "10.0.0.6:1");
-        assert_eq!(watchers.others("gateway-1", 0), ["10.0.0.6:1".into()]);
+        let mut directory = five();
+        directory.note(REMEMBER, "gateway-6", "10.0.0.6:1");
+        assert_eq!(directory.others("gateway-1", 0), ["10.0.0.6:1".into()]);
     }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 mod caller;
 mod control;
 mod core;
+mod directory;
 mod driver;
 mod follow;
 mod join;
@@ -29,13 +30,14 @@
 mod soft;
 mod suspect_calls;
 mod upgrade;
-mod watchers;
 
 pub use caller::{Dial, Direct};
 pub use control::{Control, Stopped};
 pub use open::OpenError;
 pub use operators::{OperatorKeys, OperatorKeysError};
 pub use relay::Relay;
-pub use routing_calls::{Reported, RoutingCalls, RoutingUnavailable, WATCH_ROUTES_PATH};
+pub use routing_calls::{
+    MEET_GATEWAYS_PATH, Reported, RoutingCalls, RoutingUnavailable, WATCH_ROUTES_PATH,
+};
 pub use settings::{ControlSettings, Peer, RelaySettings};
 pub use suspect_calls::NOTE_SUSPECTS_PATH;
--- a/crates/control/src/routing_calls.rs
+++ b/crates/control/src/routing_calls.rs
@@ -9,8 +9,8 @@
 
 use hinge_link::ClusterKey;
 use hinge_schema::routing::{
-    AskTable, CurrentTable, Endpoint, EndpointNoted, PutTable, ReportEndpoint, RetireEndpoint,
-    RouteTable, RoutesUpdate, SuspectList, TableHeld, WatchRoutes,
+    AskTable, CurrentTable, Endpoint, EndpointNoted, MeetGateways, NearbyGateways, PutTable,
+    ReportEndpoint, RetireEndpoint, RouteTable, RoutesUpdate, SuspectList, TableHeld, WatchRoutes,
 };
 use hinge_state::{Command, EndpointCommand, Incarnation, Reply, Routing};
 use hinge_telemetry::log::Part;
@@ -33,6 +33,9 @@
 /// Why a report is refused that names another address, service or data centre than the same incarnation did before.
 const CONTRADICTS: &str = "it contradicts what the same start of the endpoint has said of itself";
 
+/// Path on which a gateway learns of the others of its data centre.
+pub const MEET_GATEWAYS_PATH: &str = "/v1/gateways/meet";
+
 /// Path of a watch of routes and endpoints.
 pub const WATCH_ROUTES_PATH: &str = "/v1/routes/watch";
 
@@ -155,6 +158,7 @@
 /// Adds the calls of peers.
 pub(crate) fn add(router: Router, key: &ClusterKey, core: &Slot<Core>) -> Router {
     let router = route::peer(router, WATCH_ROUTES_PATH, key, core, watch);
+    let router = route::peer(router, MEET_GATEWAYS_PATH, key, core, meet);
     let router = both(router, PUT_TABLE, key, core, put, put_here);
     let router = both(router, ASK_TABLE, key, core, ask, ask_here);
     let router = both(router, REPORT, key, core, report, report_here);
@@ -327,6 +331,18 @@
     }
 }
 
+/// Notes a gateway, and names others of its data centre; any instance does, whether it knows a leader or not.
+async fn meet(core: Arc<Core>, message: MeetGateways) -> Result<NearbyGateways, StatusCode> {
+    let now = core.now();
+    let draw = rand::random::<u32>() as usize;
+    let mut soft = core.soft();
+    let directory = soft.nearby(&message.data_center);
+    directory.note(now, &message.instance, &message.address);
+    Ok(NearbyGateways {
+        addresses: directory.others(&message.instance, draw),
+    })
+}
+
 /// Answers a gateway that holds nothing with the table as of now, checked with a quorum.
 ///
 /// What is applied here may be older right after a restart, and a gateway must not begin with a table that a newer one
--- a/crates/daemon/src/roles/gateway.rs
+++ b/crates/daemon/src/roles/gateway.rs
@@ -35,6 +35,10 @@
         listen: given.listen,
         ready_listen: given.ready_listen,
         control,
+        handoff_ports: given
+            .handoff_first_port
+            .zip(given.handoff_last_port)
+            .map(|(first, last)| first..=last),
         admission_port: given.admission_port,
         budget: BudgetRules {
             permille: given.retry_permille,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -167,13 +167,17 @@
     request
 }
 
-enum Exchanged {
+/// Says what became of a request on one connection.
+pub(crate) enum Exchanged {
     Answered(Sender, Response<Incoming>),
+    /// No byte of it was sent.
     NotSent,
+    /// It may have been read, and there is no answer.
     Lost,
 }
 
-async fn exchange(mut sender: Sender, request: Request<Full<Bytes>>) -> Exchanged {
+/// Sends a request on a connection, and waits for the head of its answer.
+pub(crate) async fn exchange(mut sender: Sender, request: Request<Full<Bytes>>) -> Exchanged {
     if sender.ready().await.is_err() {
         return Exchanged::NotSent;
     }
--- /dev/null
+++ b/crates/gateway/src/batch.rs
@@ -0,0 +1,62 @@
+//! Gathers the pieces of a stream for another gateway, so that it passes on fewer of them.
+
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use tokio::time::{Instant, sleep_until};
+
+#[cfg(test)]
+mod tests;
+
+/// Holds pieces back until a time after the last ones were sent.
+#[derive(Debug)]
+pub(crate) struct Batch {
+    every: Duration,
+    held: BytesMut,
+    due_at: Option<Instant>,
+}
+
+impl Batch {
+    /// Starts empty; the first piece is never held back, and with no time nothing is.
+    pub(crate) fn new(every: Duration) -> Self {
+        Self {
+            every,
+            held: BytesMut::new(),
+            due_at: None,
+        }
+    }
+
+    /// Takes a piece, and returns what is to be sent now.
+    pub(crate) fn push(&mut self, piece: Bytes) -> Option<Bytes> {
+        let is_due = self.due_at.is_none_or(|due_at| due_at <= Instant::now());
+        if is_due && self.held.is_empty() {
+            self.note_sent();
+            return Some(piece);
+        }
+        self.held.extend_from_slice(&piece);
+        if is_due { self.take() } else { None }
+    }
+
+    /// Waits until the held pieces are to be sent; without any it waits forever.
+    pub(crate) async fn due(&self) {
+        match self.due_at.filter(|_| !self.held.is_empty()) {
+            Some(due_at) => sleep_until(due_at).await,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Takes the held pieces.
+    pub(crate) fn take(&mut self) -> Option<Bytes> {
+        if self.held.is_empty() {
+            return None;
+        }
+        self.note_sent();
+        Some(self.held.split().freeze())
+    }
+
+    fn note_sent(&mut self) {
+        if !self.every.is_zero() {
+            self.due_at = Some(Instant::now() + self.every);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/batch/tests.rs
@@ -0,0 +1,43 @@
+//! Checks which pieces of a stream are held back, and for how long.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hinge_cases::async_cases;
+use tokio::time::{Instant, advance};
+
+use super::Batch;
+
+const EVERY: Duration = Duration::from_millis(60);
+
+fn piece(text: &'static str) -> Bytes {
+    Bytes::from_static(text.as_bytes())
+}
+
+async_cases! {
+    the_first_piece_is_sent_at_once_and_later_ones_together => {
+        let mut batch = Batch::new(EVERY);
+        assert_eq!(batch.push(piece("a")), Some(piece("a")));
+        assert_eq!(batch.push(piece("b")), None);
+        assert_eq!(batch.push(piece("c")), None);
+        let began = Instant::now();
+        batch.due().await;
+        assert_eq!(began.elapsed(), EVERY);
+        assert_eq!(batch.take(), Some(piece("bc")));
+        assert_eq!(batch.take(), None);
+    }
+    a_piece_that_comes_late_waits_for_none => {
+        let mut batch = Batch::new(EVERY);
+        assert_eq!(batch.push(piece("a")), Some(piece("a")));
+        advance(EVERY).await;
+        assert_eq!(batch.push(piece("b")), Some(piece("b")));
+        assert_eq!(batch.push(piece("c")), None);
+        assert_eq!(batch.take(), Some(piece("c")), "the end of a stream waits for nothing");
+    }
+    without_a_time_nothing_is_held_back => {
+        let mut batch = Batch::new(Duration::ZERO);
+        for text in ["a", "b", "c"] {
+            assert_eq!(batch.push(piece(text)), Some(piece(text)));
+        }
+    }
+}
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -8,6 +8,8 @@
 use http_body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
+use crate::handoff::HandedOff;
+
 #[cfg(test)]
 mod tests;
 
@@ -71,11 +73,12 @@
     }
 }
 
-/// Holds a whole answer, or receives its pieces.
+/// Holds a whole answer, or receives its pieces from a task here or from another gateway.
 #[derive(Debug)]
 pub(crate) enum AnswerBody {
     Whole(Bytes),
     Pieces(Pieces),
+    HandedOff(HandedOff),
 }
 
 /// Receives the pieces of an answer.
@@ -143,17 +146,23 @@
             Self::Pieces(pieces) => pieces
                 .poll(cx)
                 .map(|piece| piece.map(|piece| piece.map(Frame::data))),
+            Self::HandedOff(handed_off) => handed_off.poll(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Whole(bytes) if bytes.is_empty())
+        match self {
+            Self::Whole(bytes) => bytes.is_empty(),
+            Self::Pieces(_) => false,
+            Self::HandedOff(handed_off) => handed_off.is_end_stream(),
+        }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
             Self::Pieces(_) => SizeHint::default(),
+            Self::HandedOff(handed_off) => handed_off.size_hint(),
         }
     }
 }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -84,6 +84,9 @@
     /// Writes the headers for the endpoint, from those of the caller without the ones of its connection.
     fn write_request(&self, headers: &mut HeaderMap, forward: &Forward<'_>);
 
+    /// Writes how long the caller still waits, for another gateway that takes the request with all its other headers.
+    fn write_remaining(&self, headers: &mut HeaderMap, remaining: Duration);
+
     /// Reads the headers of an answer to a request with this number.
     fn read_answer(
         &self,
--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -16,7 +16,7 @@
 use crate::admit::{Admitter, Place};
 use crate::attempt::Outgoing;
 use crate::dialect::Load;
-use crate::pool::{self, Pool};
+use crate::pool::{self, MAX_IDLE, Pool};
 use crate::said::Said;
 use crate::suspects::{BrokenRequest, Evidence, Suspects};
 
@@ -97,7 +97,7 @@
             is_draining: AtomicBool::new(false),
             has_restarted: watch::Sender::new(false),
             described,
-            pool: Pool::default(),
+            pool: Pool::new(MAX_IDLE),
             began: Instant::now(),
             known: Mutex::default(),
             ends: Mutex::default(),
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -58,6 +58,8 @@
     words: Words,
     /// Control instances to tell of what is seen here, the one that is followed or some others.
     pub(crate) control: ArcSwap<Vec<Address>>,
+    /// All control instances that are known.
+    pub(crate) known_control: ArcSwap<Vec<Address>>,
     began: Instant,
     /// When control last said that this is the newest that it knows, in milliseconds since `began`.
     confirmed_ms: AtomicU64,
@@ -73,6 +75,7 @@
             suspects: Arc::new(suspects),
             words: Words::default(),
             control: ArcSwap::default(),
+            known_control: ArcSwap::default(),
             began: Instant::now(),
             confirmed_ms: AtomicU64::new(0),
         }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -67,6 +67,7 @@
                     );
                 }
                 targets.answered(&address, &update.control, &seeds.borrow());
+                held.known_control.store(Arc::new(targets.known().to_vec()));
                 neighbours.named(update.gateways.clone());
                 let has_table = held.take_in(update);
                 held.confirm();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,7 +3,8 @@
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
+use std::ops::RangeInclusive;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use hinge_routing::{
     Budget, BudgetRules, ChoiceRules, Holders, IncarnationHash, KeptParts, Overload, OverloadRules,
 };
+use hinge_schema::routing::MeetGateways;
 use hinge_telemetry::info;
 use hinge_telemetry::log::Part;
 use hinge_telemetry::metrics::Registry;
@@ -24,7 +26,7 @@
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::admit::Ways;
@@ -34,11 +36,14 @@
 use crate::endpoint::Endpoint;
 use crate::fleet::Held;
 use crate::follow;
+use crate::handoff::Handoffs;
 use crate::load;
+use crate::meet;
 use crate::metrics::Metrics;
 use crate::neighbours;
-use crate::serve::serve;
+use crate::serve::{Origin, serve};
 use crate::suspects::Suspects;
+use crate::takeover;
 use crate::teams::Teams;
 use crate::tell;
 
@@ -47,10 +52,10 @@
 
 /// Longest headers of a request, in bytes; the tables of today ask for 16 KiB. A connection's buffer grows up to it and
 /// stays, so it bounds the memory of an idle connection as well.
-const MAX_HEADER_BYTES: usize = 24 * 1024;
+pub(crate) const MAX_HEADER_BYTES: usize = 24 * 1024;
 
 /// Wait after a failed accept; it concerns one connection, or a passing lack of descriptors.
-const ACCEPT_RETRY: Duration = Duration::from_millis(10);
+pub(crate) const ACCEPT_RETRY: Duration = Duration::from_millis(10);
 
 /// Sets up a gateway.
 #[derive(Debug, Clone)]
@@ -65,6 +70,8 @@
     pub ready_listen: SocketAddr,
     /// Addresses of control instances.
     pub control: Vec<Box<str>>,
+    /// Ports of which a free one is taken for requests that other gateways hand off; without any none are handed off.
+    pub handoff_ports: Option<RangeInclusive<u16>>,
     /// Port of the admissions beside the model engines; none where there are none.
     pub admission_port: Option<u16>,
     /// Budget of second sends to a service.
@@ -101,6 +108,7 @@
     /// By service.
     teams: Mutex<HashMap<Box<str>, Arc<Teams>>>,
     kept_parts: Mutex<KeptParts>,
+    pub(crate) handoffs: Handoffs,
     began: Instant,
 }
 
@@ -179,8 +187,11 @@
     shared: Arc<Shared>,
     stop: watch::Sender<bool>,
     seeds: watch::Sender<Vec<Box<str>>>,
-    callers: JoinHandle<()>,
-    others: Vec<JoinHandle<()>>,
+    /// Tasks that take connections; each ends with the answers on them.
+    serving: JoinSet<()>,
+    handoff_address: Option<SocketAddr>,
+    lag: JoinHandle<()>,
+    following: JoinHandle<()>,
 }
 
 impl Gateway {
@@ -207,7 +218,7 @@
         });
         let suspects = Suspects::register(registry);
         let held = Arc::new(Held::new(admissions, suspects));
-        let routes = neighbours::routes(Arc::clone(&readiness), key, Arc::clone(&held));
+        let routes = neighbours::routes(Arc::clone(&readiness), key.clone(), Arc::clone(&held));
         let ready_listen = settings.ready_listen.to_string();
         let ready = Server::bind(&ready_listen, routes, Limits::default()).await?;
         let ready_address = ready.local_address();
@@ -215,7 +226,7 @@
             dialect,
             held: Arc::clone(&held),
             metrics: Metrics::register(registry),
-            data_center: settings.data_center,
+            data_center: settings.data_center.clone(),
             choice: settings.choice,
             max_spill_tokens: settings.max_spill_tokens,
             connections: Connections::new(settings.max_connections),
@@ -226,28 +237,34 @@
             budgets: Mutex::default(),
             teams: Mutex::default(),
             kept_parts: Mutex::default(),
+            handoffs: Handoffs::new(key.clone()),
             began: Instant::now(),
         });
         let (stop, stopped) = watch::channel(false);
-        let (seeds, given) = watch::channel(settings.control);
-        let callers = tokio::spawn(accept_callers(listener, Arc::clone(&shared), stopped));
-        let others = vec![
-            tokio::spawn(load::watch_lag(Arc::clone(&shared), Arc::clone(&readiness))),
-            tokio::spawn(tell::run(
-                client.clone(),
-                settings.instance.clone(),
-                Arc::clone(&held),
-            )),
-            tokio::spawn(follow::run(
-                client,
-                settings.instance,
-                ready_address,
-                given,
-                held,
-                Arc::clone(&readiness),
-                shared.metrics.table_age_ms.clone(),
-            )),
-        ];
+        let (seeds, given) = watch::channel(settings.control.clone());
+        let callers = accept_callers(listener, Arc::clone(&shared), stopped.clone());
+        let mut serving = JoinSet::new();
+        serving.spawn(callers);
+        let takeover = bind_takeover(address.ip(), &settings).await?;
+        let (listener, meeting) = takeover.unzip();
+        let mut handoff_address = None;
+        if let Some(listener) = listener {
+            handoff_address = Some(listener.local_addr()?);
+            let takeover = takeover::run(listener, key.clone(), Arc::clone(&shared), stopped);
+            serving.spawn(takeover);
+        }
+        let lag = load::watch_lag(Arc::clone(&shared), Arc::clone(&readiness));
+        let lag = tokio::spawn(lag);
+        let following = follow_control(
+            client,
+            settings.instance,
+            ready_address,
+            given,
+            Arc::clone(&shared),
+            Arc::clone(&readiness),
+            meeting,
+        );
+        let following = tokio::spawn(following);
         info!(
             Part::Gateway,
             "Listening.",
@@ -261,8 +278,10 @@
             shared,
             stop,
             seeds,
-            callers,
-            others,
+            serving,
+            handoff_address,
+            lag,
+            following,
         })
     }
 
@@ -284,27 +303,81 @@
         self.ready.local_address()
     }
 
+    /// Returns the address on which other gateways hand requests off, if there is one.
+    #[must_use]
+    pub fn handoff_address(&self) -> Option<SocketAddr> {
+        self.handoff_address
+    }
+
     /// Stops as planned, and returns whether every request ended before the deadline.
     ///
     /// Callers may come for `rotation` more, since the balancer notices late; then open connections end with the answer
     /// that is under way.
-    pub async fn drain(self, rotation: Duration, deadline: Duration) -> bool {
+    pub async fn drain(mut self, rotation: Duration, deadline: Duration) -> bool {
         self.readiness.set(Reason::Leaving);
         let ends_at = Instant::now() + deadline;
         let _first_stop = self.shared.stops_at.set(ends_at);
         sleep(rotation).await;
         self.stop.send_replace(true);
-        let abort = self.callers.abort_handle();
         let left = ends_at.saturating_duration_since(Instant::now());
-        let has_ended = timeout(left, self.callers).await.is_ok();
-        abort.abort();
-        for task in &self.others {
-            task.abort();
-        }
+        let has_ended = timeout(left, async {
+            while self.serving.join_next().await.is_some() {}
+        });
+        let has_ended = has_ended.await.is_ok();
+        self.serving.abort_all();
+        self.lag.abort();
+        self.following.abort();
         has_ended
     }
 }
 
+/// Binds what takes requests of other gateways, and returns it with what they are told.
+async fn bind_takeover(
+    ip: IpAddr,
+    settings: &GatewaySettings,
+) -> io::Result<Option<(TcpListener, MeetGateways)>> {
+    let Some(ports) = settings.handoff_ports.clone() else {
+        return Ok(None);
+    };
+    let listener = takeover::bind(ip, ports).await?;
+    let question = MeetGateways {
+        instance: settings.instance.clone(),
+        data_center: settings.data_center.clone(),
+        address: listener.local_addr()?.to_string().into(),
+    };
+    Ok(Some((listener, question)))
+}
+
+/// Follows control, and tells it of what is seen here, until it is dropped.
+async fn follow_control(
+    client: Client,
+    instance: Box<str>,
+    peer_address: SocketAddr,
+    seeds: watch::Receiver<Vec<Box<str>>>,
+    shared: Arc<Shared>,
+    readiness: Arc<Readiness>,
+    meeting: Option<MeetGateways>,
+) {
+    let held = Arc::clone(&shared.held);
+    let table_age_ms = shared.metrics.table_age_ms.clone();
+    let telling = tell::run(client.clone(), instance.clone(), Arc::clone(&held));
+    let following = follow::run(
+        client.clone(),
+        instance,
+        peer_address,
+        seeds,
+        held,
+        readiness,
+        table_age_ms,
+    );
+    let meeting = async {
+        if let Some(question) = meeting {
+            meet::run(client, question, shared).await;
+        }
+    };
+    futures::join!(telling, following, meeting);
+}
+
 async fn accept_callers(
     listener: TcpListener,
     shared: Arc<Shared>,
@@ -342,7 +415,7 @@
     let service = service_fn(move |request: Request<Incoming>| {
         let shared = Arc::clone(&for_requests);
         async move {
-            let mut response = serve(Arc::clone(&shared), request).await;
+            let mut response = serve(Arc::clone(&shared), request, Origin::Caller).await;
             if shared.connections.are_many() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -19,6 +19,7 @@
 use crate::gateway::Shared;
 use crate::load::Running;
 use crate::refusal::Refusal;
+use crate::serve::Origin;
 use crate::story::Story;
 use crate::teams::Teams;
 
@@ -64,6 +65,7 @@
     pub(crate) engine: Option<Engine>,
     pub(crate) rank: u32,
     /// Its place among the requests that this gateway has under way; plain requests need none.
+    pub(crate) origin: Origin,
     pub(crate) _running: Option<Running>,
     pub(crate) arrived: Instant,
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod admit;
 mod answer;
 mod attempt;
+mod batch;
 mod body;
 mod connections;
 mod dialect;
@@ -16,10 +17,12 @@
 mod fleet;
 mod follow;
 mod gateway;
+mod handoff;
 mod headers;
 mod job;
 mod line;
 mod load;
+mod meet;
 mod metrics;
 mod neighbours;
 mod pool;
@@ -29,6 +32,7 @@
 mod serve;
 mod story;
 mod suspects;
+mod takeover;
 mod teams;
 mod tell;
 
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -84,7 +84,7 @@
             counted_at = now;
             let tally = shared.overload().take_tally();
             shared.metrics.count(&tally);
-            if tally.has_turned_away() {
+            if tally.has_excess() {
                 tell(&tally, limit, lag);
             }
         }
@@ -98,6 +98,9 @@
         "Load.",
         connections = tally.connections,
         begun = tally.begun,
+        handed_off = tally.handed_off,
+        taken_over = tally.taken_over,
+        declined = tally.declined,
         refused_all = tally.refused_at(Bound::All),
         refused_hot_teams = tally.refused_at(Bound::HotTeams),
         refused_other_teams = tally.refused_at(Bound::OtherTeams),
@@ -131,6 +134,18 @@
     }
 }
 
+impl Running {
+    /// Lets a request begin that another gateway hands off, if there is room for it.
+    pub(crate) fn take_over(shared: &Arc<Shared>, team: Option<&str>) -> Option<Self> {
+        let team = team.unwrap_or_default();
+        let may = shared.overload().try_take_over(team);
+        may.then(|| Self {
+            shared: Arc::clone(shared),
+            team: team.into(),
+        })
+    }
+}
+
 impl Drop for Running {
     fn drop(&mut self) {
         self.shared.overload().ended(&self.team);
--- /dev/null
+++ b/crates/gateway/src/meet.rs
@@ -0,0 +1,60 @@
+//! Learns of the other gateways of the data centre, and tells them of this one.
+//!
+//! Each gateway asks one control instance after the other, so that any two meet at some of them without any state in the log.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hinge_control::MEET_GATEWAYS_PATH;
+use hinge_link::Client;
+use hinge_schema::routing::{MeetGateways, NearbyGateways};
+use hinge_telemetry::debug;
+use hinge_telemetry::log::Part;
+use tokio::time::sleep;
+
+use crate::gateway::Shared;
+
+/// Time between two questions until every control instance was asked once, and afterwards.
+const FIRST_EVERY: Duration = Duration::from_secs(1);
+const LATER_EVERY: Duration = Duration::from_secs(5);
+
+/// Longest wait for an answer; the next instance is asked then.
+const WAIT: Duration = Duration::from_millis(500);
+
+/// Asks control instances until the task is aborted.
+pub(crate) async fn run(client: Client, question: MeetGateways, shared: Arc<Shared>) {
+    let from = rand::random::<u32>() as usize;
+    let mut asked = 0;
+    loop {
+        let known = shared.held.known_control.load_full();
+        let is_first_round = asked < known.len().max(1);
+        sleep(if is_first_round {
+            FIRST_EVERY
+        } else {
+            LATER_EVERY
+        })
+        .await;
+        let known = shared.held.known_control.load_full();
+        let Some(address) = known.get((from + asked) % known.len().max(1)) else {
+            continue;
+        };
+        asked += 1;
+        let called = client.call(address, MEET_GATEWAYS_PATH, &question, WAIT);
+        let answered: Result<NearbyGateways, _> = called.await;
+        match answered {
+            Ok(nearby) => {
+                let addresses = nearby.addresses.iter();
+                let addresses: Vec<SocketAddr> =
+                    addresses.filter_map(|text| text.parse().ok()).collect();
+                shared.handoffs.named(&addresses);
+            }
+            Err(cause) => debug!(
+                Part::Gateway,
+                "A control instance names no gateways of this data centre.",
+                address = address,
+                cause = cause
+            ),
+        }
+    }
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -26,6 +26,9 @@
     pub(crate) resumed: Counter,
     refused: Family<BoundLabels, Counter>,
     shut_ms: Counter,
+    handed_off: Counter,
+    taken_over: Counter,
+    declined: Counter,
     /// Time since control last confirmed the route table, in milliseconds.
     pub(crate) table_age_ms: Gauge,
 }
@@ -66,6 +69,18 @@
                 "gateway_shut_ms",
                 "Milliseconds in which nobody listened for connections; attempts in them fail uncounted.",
             ),
+            handed_off: registry.counter(
+                "gateway_handed_off",
+                "Requests without room that other gateways of the data centre took.",
+            ),
+            taken_over: registry.counter(
+                "gateway_taken_over",
+                "Requests taken from other gateways of the data centre.",
+            ),
+            declined: registry.counter(
+                "gateway_declined",
+                "Requests of other gateways of the data centre that were not taken.",
+            ),
             table_age_ms: registry.gauge(
                 "gateway_table_age_ms",
                 "Milliseconds since control last confirmed the route table, as of the last answer or failure.",
@@ -100,6 +115,9 @@
             let refused = tally.refused_at(bound);
             self.refused.get_or_create(&labels).inc_by(refused.into());
         }
+        self.handed_off.inc_by(tally.handed_off.into());
+        self.taken_over.inc_by(tally.taken_over.into());
+        self.declined.inc_by(tally.declined.into());
         let shut_ms = u64::try_from(tally.shut.as_millis()).unwrap_or(u64::MAX);
         self.shut_ms.inc_by(shut_ms);
     }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,4 +1,4 @@
-//! Keeps connections to one endpoint.
+//! Keeps connections to one endpoint, or to another gateway.
 
 use std::io;
 use std::net::SocketAddr;
@@ -26,8 +26,8 @@
 /// the close on its way may have run.
 const KEEP_PERMILLE: u32 = 700;
 
-/// Idle connections that are kept; more than an endpoint's slots are never needed at once.
-const MAX_IDLE: usize = 64;
+/// Idle connections to an endpoint that are kept; more than its slots are never needed at once.
+pub(crate) const MAX_IDLE: usize = 64;
 
 /// Sends requests on one connection.
 pub(crate) type Sender = SendRequest<Full<Bytes>>;
@@ -39,12 +39,21 @@
 }
 
 /// Holds the idle connections to one endpoint; the one used last is used first.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Pool {
     idle: Mutex<Vec<Idle>>,
+    max_idle: usize,
 }
 
 impl Pool {
+    /// Creates one without connections that keeps so many.
+    pub(crate) fn new(max_idle: usize) -> Self {
+        Self {
+            idle: Mutex::default(),
+            max_idle,
+        }
+    }
+
     /// Returns an idle connection that is still good, as far as is known.
     pub(crate) fn take(&self) -> Option<Sender> {
         let now = Instant::now();
@@ -58,7 +67,7 @@
     pub(crate) fn keep(&self, sender: Sender, keep_alive: Option<Duration>) {
         let keep_for = keep_alive.map_or(KEEP_IDLE, |time| time * KEEP_PERMILLE / 1000);
         let mut idle = self.lock();
-        if idle.len() < MAX_IDLE && !sender.is_closed() {
+        if idle.len() < self.max_idle && !sender.is_closed() {
             idle.push(Idle {
                 sender,
                 use_until: Instant::now() + keep_for,
@@ -76,16 +85,35 @@
     }
 }
 
-/// Opens a connection.
+/// Opens a connection for requests.
 ///
 /// # Errors
 ///
 /// Returns the system's error; nothing was sent.
 pub(crate) async fn connect(address: SocketAddr) -> io::Result<Sender> {
-    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let connected = timeout(CONNECT_TIMEOUT, dial(address)).await;
     let stream = connected.map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))??;
+    handshake(stream).await
+}
+
+/// Opens a connection that breaks when its data is not acknowledged.
+///
+/// # Errors
+///
+/// Returns the system's error.
+pub(crate) async fn dial(address: SocketAddr) -> io::Result<TcpStream> {
+    let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    Ok(stream)
+}
+
+/// Makes an open connection ready for requests.
+///
+/// # Errors
+///
+/// Returns an error when the connection has closed.
+pub(crate) async fn handshake(stream: TcpStream) -> io::Result<Sender> {
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(io::Error::other)?;
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -9,6 +9,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::attempt::Answer;
+use crate::batch::Batch;
 use crate::body::PieceSender;
 use crate::events::EventSplitter;
 use crate::headers;
@@ -47,10 +48,19 @@
     pieces: PieceSender,
     is_events: bool,
 ) {
+    let mut batch = Batch::new(job.origin.batch_every());
     let mut splitter = is_events.then(|| EventSplitter::after(job.last_event));
     let mut answer = answer;
     let ended = loop {
-        let ended = pass_on(&job, &mut story, answer, &pieces, splitter.as_mut()).await;
+        let passing = pass_on(
+            &job,
+            &mut story,
+            answer,
+            &pieces,
+            splitter.as_mut(),
+            &mut batch,
+        );
+        let ended = passing.await;
         if ended != Ended::Broken {
             break ended;
         }
@@ -67,6 +77,10 @@
         };
         answer = next;
     };
+    if let Some(held) = batch.take() {
+        // A caller that has left shows with the end.
+        let _sent_or_left = pieces.send(held).await;
+    }
     let _told_or_left = match ended {
         Ended::Complete => pieces.end().await,
         Ended::Broken | Ended::TimedOut => pieces.break_off().await,
@@ -82,6 +96,7 @@
     answer: Box<Answer>,
     pieces: &PieceSender,
     mut splitter: Option<&mut EventSplitter>,
+    batch: &mut Batch,
 ) -> Ended {
     let Answer {
         response,
@@ -101,6 +116,7 @@
             () = pieces.closed() => return Ended::CallerLeft,
             next = next_piece(&mut body, ends_at) => next,
             _cause = in_use.lost(may_go_on) => Piece::Broken,
+            () = batch.due() => Piece::Due,
         };
         let piece = match next {
             Piece::Data(data) => match splitter.as_mut() {
@@ -116,6 +132,13 @@
                 return Ended::Broken;
             }
             Piece::TimedOut => return Ended::TimedOut,
+            Piece::Due => {
+                let held = batch.take().unwrap_or_default();
+                if pieces.send(held).await.is_err() {
+                    return Ended::CallerLeft;
+                }
+                continue;
+            }
         };
         if piece.is_empty() {
             continue;
@@ -126,6 +149,9 @@
             job.note_kept(in_use.endpoint());
         }
         story.note_piece(job);
+        let Some(piece) = batch.push(piece) else {
+            continue;
+        };
         if pieces.send(piece).await.is_err() {
             return Ended::CallerLeft;
         }
@@ -148,6 +174,8 @@
     End,
     Broken,
     TimedOut,
+    /// What is held back is to be sent.
+    Due,
 }
 
 async fn next_piece(body: &mut Incoming, ends_at: Instant) -> Piece {
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -9,9 +9,9 @@
 
 use crate::body::AnswerBody;
 
-/// When a caller may come back that this gateway is too busy for: its next connection reaches another one, which has room
-/// unless all of them are as busy; then a caller that waits for as long as a window of overload finds places that have ended.
-const ELSEWHERE_RETRY: Duration = Duration::from_millis(50);
+/// When a caller may come back for which neither this gateway nor others of its data centre have room: the limits follow the load
+/// from one window to the next, and some places have ended by then.
+const NO_ROOM_RETRY: Duration = Duration::from_millis(200);
 
 /// When a caller may come back whose request is held: it stays so until an operator releases it.
 const HELD_RETRY: Duration = Duration::from_hours(1);
@@ -36,7 +36,7 @@
     },
     /// Endpoints ended under it one after the other, so that it is sent to none any more; this attempt did not run.
     Held,
-    /// This gateway has too much to do; it did not run, and another gateway can take it at once.
+    /// This gateway has too much to do, and no other one takes it; it did not run.
     Overloaded(Overloaded),
     /// An endpoint may have run it, and its answer is lost.
     Unknown,
@@ -102,7 +102,7 @@
         let retry_after = match self {
             Self::NotRun { retry_after } => Some(retry_after),
             Self::NoTable => Some(Duration::from_secs(1)),
-            Self::Overloaded(_) => Some(ELSEWHERE_RETRY),
+            Self::Overloaded(_) => Some(NO_ROOM_RETRY),
             Self::Held => Some(HELD_RETRY),
             _ => None,
         };
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -21,25 +21,54 @@
 use crate::dialect::Facts;
 use crate::fleet::Fleet;
 use crate::gateway::Shared;
+use crate::handoff::{Decline, TABLE, hand_off};
 use crate::headers::strip_connection;
 use crate::job::{Job, Tried};
 use crate::load::Running;
 use crate::pump;
 use crate::refusal::Refusal;
 use crate::story::{Story, tokens_of};
+use crate::takeover::HELD_AGE;
+
+/// Time between two pieces of a stream that goes to another gateway: a part of the pause that callers bear.
+const BATCH_EVERY: Duration = Duration::from_millis(60);
 
 /// Type of an answer of events.
 const EVENT_STREAM: &str = "text/event-stream";
 
+/// Says who brings a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Origin {
+    Caller,
+    /// Another gateway of the data centre, which has no room for it.
+    Gateway,
+}
+
+impl Origin {
+    /// Returns how often pieces of a stream are passed on. Another gateway that has little processor time left passes on fewer larger ones.
+    pub(crate) fn batch_every(self) -> Duration {
+        match self {
+            Self::Caller => Duration::ZERO,
+            Self::Gateway => BATCH_EVERY,
+        }
+    }
+}
+
 /// Serves a request.
 pub(crate) async fn serve(
     gateway: Arc<Shared>,
     request: Request<Incoming>,
+    origin: Origin,
 ) -> Response<AnswerBody> {
     let arrived = Instant::now();
-    let (parts, body) = request.into_parts();
+    let (mut parts, body) = request.into_parts();
     let facts = gateway.dialect.read_request(&parts.headers);
     let fleet = gateway.held.current();
+    if origin == Origin::Gateway
+        && let Some(decline) = declines(&gateway, &fleet, &mut parts.headers)
+    {
+        return decline.response();
+    }
     let found = find(&fleet, &parts, &facts);
     let Found {
         route,
@@ -68,9 +97,22 @@
         return refuse_held(&gateway, &route, &outgoing);
     }
     let team = outgoing.team.as_deref();
-    let running = match take_place(&gateway, engine.is_some(), team) {
+    let place = match origin {
+        Origin::Caller => take_place(&gateway, engine.is_some(), team),
+        Origin::Gateway => match take_over(&gateway, engine.is_some(), team) {
+            Ok(running) => Ok(running),
+            Err(decline) => return decline.response(),
+        },
+    };
+    let running = match place {
         Ok(running) => running,
-        Err(overloaded) => return refuse_overloaded(&gateway, team, &facts, overloaded),
+        Err(overloaded) => {
+            let handed_off = hand_off(&gateway, fleet.table_number(), &outgoing, &overloaded);
+            return match handed_off.await {
+                Some(response) => response,
+                None => refuse_overloaded(&gateway, team, &facts, overloaded),
+            };
+        }
     };
     let job = Arc::new(Job {
         outgoing,
@@ -81,6 +123,7 @@
         prompt: facts.prompt,
         engine,
         rank,
+        origin,
         _running: running,
         last_event: facts.last_event,
         arrived,
@@ -100,6 +143,38 @@
     gateway.overload().check_plain().map(|()| None)
 }
 
+/// Takes a place for a request that another gateway hands off.
+fn take_over(
+    gateway: &Arc<Shared>,
+    has_engine: bool,
+    team: Option<&str>,
+) -> Result<Option<Running>, Decline> {
+    if has_engine {
+        let running = Running::take_over(gateway, team);
+        return running.map(Some).ok_or(Decline::NoRoom);
+    }
+    let checked = gateway.overload().check_plain();
+    checked.map_or(Err(Decline::NoRoom), |()| Ok(None))
+}
+
+/// Returns why this gateway can't take requests of others, and takes the headers off that are between gateways.
+///
+/// A caller must not be served by an older table than that of the gateway which it came to, nor by a newer one and by the older one
+/// again right after.
+fn declines(gateway: &Shared, fleet: &Fleet, headers: &mut HeaderMap) -> Option<Decline> {
+    let table = headers.remove(TABLE);
+    let table = table.and_then(|table| table.to_str().ok()?.parse::<u64>().ok());
+    if gateway.stops_at.get().is_some() {
+        Some(Decline::Leaving)
+    } else if gateway.held.age() > HELD_AGE {
+        Some(Decline::WithoutControl)
+    } else if table != Some(fleet.table_number()) {
+        Some(Decline::OtherTable)
+    } else {
+        None
+    }
+}
+
 /// Returns whether the requests of a route may run more than once.
 fn may_run_again(route: &Route) -> bool {
     match route.kind {
@@ -250,7 +325,9 @@
         lag_ms = overloaded.lag.as_millis()
     );
     let mut response = refusal.response();
-    if gateway.overload().wants_anew() {
+    let mut overload = gateway.overload();
+    overload.refuse(&overloaded);
+    if overload.wants_anew() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
--- a/crates/link/src/auth.rs
+++ b/crates/link/src/auth.rs
@@ -65,9 +65,14 @@
     /// Returns whether the headers prove that the sender knows the key.
     #[must_use]
     pub fn is_proved_by(&self, headers: &HeaderMap) -> bool {
-        headers
-            .get(AUTHORIZATION)
-            .is_some_and(|value| value.as_bytes().ct_eq(self.header.as_bytes()).into())
+        let value = headers.get(AUTHORIZATION);
+        value.is_some_and(|value| self.is_proof(value.as_bytes()))
+    }
+
+    /// Returns whether a text proves that its sender knows the key.
+    #[must_use]
+    pub fn is_proof(&self, text: &[u8]) -> bool {
+        text.ct_eq(self.header.as_bytes()).into()
     }
 }
 
--- a/crates/routing/src/overload.rs
+++ b/crates/routing/src/overload.rs
@@ -4,13 +4,10 @@
 //! its usual load falls upon one gateway. A gateway that takes all of it passes every stream on late, and in the end
 //! answers nobody. One that refuses at once what it can't bear serves the rest.
 //!
-//! Refusing costs processor time as well, and a caller's next attempt may fall upon the same gateway. So one that goes on
-//! refusing asks the balancer for no new connections until it has had room for a while, and asks those that it
-//! refuses to connect anew: what it can bear stays with it, and the rest finds other gateways.
-//!
-//! A caller that brings hundreds of connections a second takes the whole processor of a small gateway by being refused, and what
-//! that gateway could serve is lost as well. Then, for as long as the balancer takes to notice, it listens only for as many
-//! connections as it has room for: any other attempt to connect fails at once and costs it nothing.
+//! What finds no room is handed off to another gateway of the data centre, or refused where none takes it. Both cost processor time,
+//! and a caller's next attempt may fall upon the same gateway. So one that goes on refusing asks the balancer for no new connections
+//! until it has had room for a while, and asks those that it refuses to connect anew. New connections are bounded by what it keeps up
+//! with (`Intake`).
 //!
 //! The sign of overload is a *standing* lag: tasks that are ready wait, and go on waiting over a whole window. The
 //! least lag of a window tells that from a burst or from a processor that is handed out in slices, which the greatest lag
@@ -20,6 +17,7 @@
 use std::time::Duration;
 
 use crate::asked::Asked;
+use crate::intake::{Intake, Window};
 use crate::tally::{Bound, Tally};
 
 /// Sets when a gateway turns requests away.
@@ -106,10 +104,6 @@
 /// Windows after which the balancer knows that a gateway is full: it asks once a second, and believes the second answer.
 const BALANCER_WINDOWS: u32 = 10;
 
-/// Refusals in a window for each request under way from which on refusing costs a gateway more than serving: a refusal takes as much
-/// processor time as a stream does in a quarter of a window.
-const DROWNED_TIMES: u32 = 4;
-
 /// Part of the limit that may be in use when there is room, in thousandths.
 const ROOM_PERMILLE: u32 = 700;
 
@@ -142,8 +136,9 @@
     window_ends: Duration,
     /// Standing lag of the last whole window.
     lag: Duration,
-    /// Requests that began, and that were turned away, in this window.
+    /// Requests that began here or elsewhere, those of them that other gateways took, and those turned away, in this window.
     begun: u32,
+    handed_off: u32,
     refused: u32,
     /// Those of teams that are not hot turned away in this window.
     refused_others: u32,
@@ -158,9 +153,9 @@
     is_full: bool,
     /// Windows since it became full.
     windows_full: u32,
-    /// Windows for which new connections are still counted, and how many may be taken in this one.
+    /// Windows that are left of those after one in which nobody listened for a part of it.
     guarded_windows: u32,
-    connections_left: u32,
+    intake: Intake,
     tally: Tally,
     ticked_at: Duration,
 }
@@ -179,6 +174,7 @@
             window_ends: rules.window,
             lag: Duration::ZERO,
             begun: 0,
+            handed_off: 0,
             refused: 0,
             refused_others: 0,
             shared_permille: SHARED_PERMILLE,
@@ -189,7 +185,7 @@
             is_full: false,
             windows_full: 0,
             guarded_windows: 0,
-            connections_left: 0,
+            intake: Intake::new(),
             tally: Tally::default(),
             ticked_at: Duration::ZERO,
         }
@@ -201,6 +197,7 @@
             self.tally.shut += now.saturating_sub(self.ticked_at);
         }
         self.ticked_at = now;
+        self.intake.ticked();
         self.least_lag = Some(self.least_lag.map_or(lag, |least| least.min(lag)));
         if now < self.window_ends {
             return;
@@ -210,10 +207,11 @@
         let (used, limit) = (self.used, self.limit);
         self.used = self.running;
         let has_refused = self.refused > 0;
-        let is_drowned = self.note_window(used);
-        if is_drowned {
-            // The lag is that of refusals, and ends with them.
-        } else if self.is_short() {
+        let handed_off = std::mem::take(&mut self.handed_off);
+        let is_wasted = has_refused && self.is_short();
+        let intake = self.intake.end_window(self.lag, self.begun, is_wasted);
+        self.note_window(used, intake);
+        if self.is_short() {
             // A limit far above what is under way would take many windows to bite.
             let from = limit.min(used.max(self.rules.least));
             let is_steep = self.lag > self.rules.target_lag * STEEP_TIMES;
@@ -223,6 +221,8 @@
                 FALL_PERMILLE
             };
             self.limit = (from * left / 1000).max(self.rules.least);
+        } else if intake != Window::Open && handed_off > 0 {
+            // What is handed off costs less than what is served here, and more of it would come.
         } else if used >= limit * SHARED_PERMILLE / 1000 || (has_refused && self.is_idle()) {
             // Rounded as the room of a hot team is, which may be all that asks.
             // After a burst that is over, a limit that rose slowly would turn a team away for seconds beside an idle processor.
@@ -234,14 +234,10 @@
             let rise = (limit * permille / 1000).max(1);
             self.limit = (limit + rise).min(self.rules.most);
         }
-        let room = (self.limit * SHARED_PERMILLE / 1000).saturating_sub(self.running);
-        self.connections_left = if self.is_short() { 0 } else { room };
     }
 
     /// Notes whether the last window was full or had room, and follows it after some windows in a row.
-    ///
-    /// Returns whether refusing took more of it than serving.
-    fn note_window(&mut self, used: u32) -> bool {
+    fn note_window(&mut self, used: u32, intake: Window) {
         let refused = std::mem::take(&mut self.refused);
         self.asked.fade();
         self.shared_permille = if std::mem::take(&mut self.refused_others) > 0 {
@@ -250,25 +246,25 @@
             (self.shared_permille + SHARED_RISE_PERMILLE).min(SHARED_PERMILLE)
         };
         let asked = refused + std::mem::take(&mut self.begun);
-        let has_room =
-            !self.is_short() && refused == 0 && used * 1000 <= self.limit * ROOM_PERMILLE;
+        let has_room = !self.is_short()
+            && refused == 0
+            && intake == Window::Open
+            && used * 1000 <= self.limit * ROOM_PERMILLE;
         self.room_windows = if has_room { self.room_windows + 1 } else { 0 };
-        let are_many = refused > 0 && refused * 1000 >= asked * MANY_PERMILLE;
+        let are_many = (refused > 0 && refused * 1000 >= asked * MANY_PERMILLE)
+            || intake == Window::MostlyShut;
         self.full_windows = if are_many { self.full_windows + 1 } else { 0 };
         self.windows_full = if self.is_full {
             self.windows_full + 1
         } else {
             0
         };
-        // What is under way beyond the limit is not served in time either.
-        let bearable = used.clamp(1, self.limit);
-        let is_drowned = self.is_short() && refused >= bearable * DROWNED_TIMES;
-        self.guarded_windows = if is_drowned {
-            BALANCER_WINDOWS
-        } else {
+        self.guarded_windows = if intake == Window::Open {
             self.guarded_windows.saturating_sub(1)
+        } else {
+            BALANCER_WINDOWS
         };
-        if self.full_windows >= FULL_AFTER_WINDOWS || is_drowned {
+        if self.full_windows >= FULL_AFTER_WINDOWS {
             self.is_full = true;
         } else if self.is_full && self.room_windows >= self.room_needed {
             self.is_full = false;
@@ -276,14 +272,13 @@
         } else if self.room_windows >= FORGET_AFTER_WINDOWS {
             self.room_needed = ROOM_AFTER_WINDOWS;
         }
-        is_drowned
     }
 
     /// Lets a request of a team begin, unless there is no room for it.
     ///
     /// # Errors
     ///
-    /// Returns what there was no room for.
+    /// Returns what there was no room for; the request is then handed off or refused.
     pub fn try_begin(&mut self, team: &str) -> Result<(), Overloaded> {
         let team_running = self.teams.get(team).copied().unwrap_or_default();
         let is_hot = self.asked.note(team);
@@ -294,9 +289,6 @@
         };
         let room = self.limit * permille / 1000;
         if self.running >= room.max(1) {
-            self.refused += 1;
-            self.refused_others += u32::from(!is_hot);
-            self.tally.refuse(bound);
             return Err(Overloaded {
                 bound,
                 running: self.running,
@@ -305,6 +297,26 @@
                 lag: self.lag,
             });
         }
+        self.begin(team);
+        Ok(())
+    }
+
+    /// Lets a request of a team begin that another gateway hands off, and returns whether there is room for it.
+    ///
+    /// It has the room that hot teams share, and only while this gateway keeps up, so that its own callers don't wait for it.
+    pub fn try_take_over(&mut self, team: &str) -> bool {
+        let room = self.limit * self.shared_permille / 1000;
+        let may = !self.is_short() && !self.is_full && self.running < room;
+        if may {
+            self.begin(team);
+            self.tally.taken_over += 1;
+        } else {
+            self.tally.declined += 1;
+        }
+        may
+    }
+
+    fn begin(&mut self, team: &str) {
         self.running += 1;
         self.begun += 1;
         self.tally.begun += 1;
@@ -314,7 +326,23 @@
         } else {
             self.teams.insert(team.into(), 1);
         }
-        Ok(())
+    }
+
+    /// Notes that a gateway took a request that was handed off.
+    pub fn handed_off(&mut self) {
+        self.begun += 1;
+        self.handed_off += 1;
+        self.tally.handed_off += 1;
+    }
+
+    /// Notes that a request that found no room is refused.
+    pub fn refuse(&mut self, overloaded: &Overloaded) {
+        self.tally.refuse(overloaded.bound);
+        // A plain request that the lag would make late says nothing of the room for others.
+        if overloaded.bound != Bound::Lag {
+            self.refused += 1;
+            self.refused_others += u32::from(overloaded.bound != Bound::HotTeams);
+        }
     }
 
     /// Notes that a request that had begun has ended.
@@ -339,11 +367,10 @@
     /// # Errors
     ///
     /// Returns the lag.
-    pub fn check_plain(&mut self) -> Result<(), Overloaded> {
+    pub fn check_plain(&self) -> Result<(), Overloaded> {
         if self.lag <= self.rules.plain_lag {
             return Ok(());
         }
-        self.tally.refuse(Bound::Lag);
         Err(Overloaded {
             bound: Bound::Lag,
             running: self.running,
@@ -372,7 +399,7 @@
 
     /// Notes that a connection was taken.
     pub fn connected(&mut self) {
-        self.connections_left = self.connections_left.saturating_sub(1);
+        self.intake.connected();
         self.tally.connections += 1;
     }
 
@@ -381,16 +408,21 @@
         std::mem::take(&mut self.tally)
     }
 
-    /// Returns whether new connections are counted, since refusing requests would take the processor from those that are served.
+    /// Returns whether the connection of an answer should close after it, since there are more than the processor keeps up with.
+    pub fn closes_one(&mut self) -> bool {
+        self.intake.closes_one()
+    }
+
+    /// Returns whether connections were refused lately, since the processor did not keep up.
     #[must_use]
     pub fn is_guarded(&self) -> bool {
         self.guarded_windows > 0
     }
 
-    /// Returns whether no new connection is taken: they are counted, and there is no room for one more.
+    /// Returns whether no new connection is taken now.
     #[must_use]
     pub fn is_closed(&self) -> bool {
-        self.is_guarded() && self.connections_left == 0
+        self.intake.is_shut()
     }
 
     /// Returns whether callers that are turned away should connect anew: the balancer knows by then that this gateway is
--- a/crates/routing/src/tally.rs
+++ b/crates/routing/src/tally.rs
@@ -38,6 +38,12 @@
     pub connections: u32,
     /// Requests to model engines that began.
     pub begun: u32,
+    /// Requests that other gateways took from this one.
+    pub handed_off: u32,
+    /// Requests that this gateway took from others.
+    pub taken_over: u32,
+    /// Requests of other gateways that found no room here.
+    pub declined: u32,
     refused: [u32; Bound::ALL.len()],
     /// Time for which nobody listened for connections; attempts in it fail and are not seen here.
     pub shut: Duration,
@@ -55,9 +61,11 @@
         self.refused[bound as usize]
     }
 
-    /// Returns whether something was turned away, as far as it can be seen.
+    /// Returns whether something was turned away or passed between gateways, as far as it can be seen.
     #[must_use]
-    pub fn has_turned_away(&self) -> bool {
-        self.refused.iter().any(|refused| *refused > 0) || !self.shut.is_zero()
+    pub fn has_excess(&self) -> bool {
+        let passed = self.handed_off + self.taken_over + self.declined;
+        let refused: u32 = self.refused.iter().sum();
+        passed + refused > 0 || !self.shut.is_zero()
     }
 }
--- a/crates/routing/src/targets.rs
+++ b/crates/routing/src/targets.rs
@@ -62,6 +62,12 @@
         self.learn(&known, seeds);
     }
 
+    /// Returns all instances that are known.
+    #[must_use]
+    pub fn known(&self) -> &[Address] {
+        &self.known
+    }
+
     /// Returns whether one is followed.
     #[must_use]
     pub fn is_followed(&self) -> bool {
--- a/crates/routing/tests/data_center/model.rs
+++ b/crates/routing/tests/data_center/model.rs
@@ -4,9 +4,10 @@
 //! each gateway once a second whether it is ready, and takes one out after two refusals. Engines have room for everything.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use hinge_routing::{Overload, OverloadRules};
+use hinge_routing::{Nearby, Overload, OverloadRules};
 
 /// Processor time of a small gateway and of a large one in a millisecond, in microseconds.
 pub const SMALL_US_PER_MS: u64 = 90;
@@ -17,6 +18,13 @@
 const STEP_US: u64 = 4;
 const REFUSE_US: u64 = 100;
 
+/// The same of one that is handed off, beside the steps of its stream.
+const HAND_OFF_US: u64 = 100;
+
+/// Gateways that are asked to take one request, and the time for which one that has no room is left out.
+const MOST_ASKED: usize = 2;
+const NO_ROOM_REST: Duration = Duration::from_millis(200);
+
 /// Duration of a stream, and the time between two of its steps.
 const STREAM_MS: u64 = 800;
 const STEP_MS: u64 = 32;
@@ -42,6 +50,25 @@
 /// Seed of the drawn orders.
 const SEED: u64 = 0x9e37_79b9_7f4a_7c15;
 
+/// Draws numbers (xorshift).
+#[derive(Debug)]
+struct Draw(u64);
+
+impl Draw {
+    fn next(&mut self) -> usize {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        usize::try_from(self.0 >> 33).expect("31 bits")
+    }
+}
+
+/// Returns the address that stands for a gateway.
+fn address_of(place: usize) -> SocketAddr {
+    let port = u16::try_from(place).expect("gateways are few");
+    (Ipv4Addr::LOCALHOST, port).into()
+}
+
 /// Describes a team whose callers ask at an even pace, from a moment on.
 #[derive(Debug, Clone, Copy)]
 pub struct Team {
@@ -73,6 +100,9 @@
     owed_us: u64,
     arrived: VecDeque<Request>,
     streams: VecDeque<Stream>,
+    nearby: Nearby,
+    /// When requests end that were handed off, and the gateways that have them.
+    handed_off: VecDeque<(u64, SocketAddr)>,
     is_in_rotation: bool,
     misses: u32,
 }
@@ -85,6 +115,8 @@
             owed_us: 0,
             arrived: VecDeque::new(),
             streams: VecDeque::new(),
+            nearby: Nearby::default(),
+            handed_off: VecDeque::new(),
             is_in_rotation: true,
             misses: 0,
         }
@@ -122,6 +154,7 @@
     /// Order of the gateways for each team's callers.
     orders: Vec<Vec<Vec<usize>>>,
     retries: BTreeMap<u64, Vec<Request>>,
+    draw: Draw,
     /// Requests that came, retries among them, and that began, by team and second.
     asked: Vec<BTreeMap<u64, u64>>,
     begun: Vec<BTreeMap<u64, u64>>,
@@ -131,24 +164,28 @@
 impl DataCenter {
     /// Creates gateways with so much processor time each, and teams before them.
     pub fn new(us_per_ms: &[u64], teams: &[Team]) -> Self {
-        let mut draw = SEED;
+        let mut draw = Draw(SEED);
         let mut order = || {
             let mut order: Vec<usize> = (0..us_per_ms.len()).collect();
             for place in (1..order.len()).rev() {
-                draw ^= draw << 13;
-                draw ^= draw >> 7;
-                draw ^= draw << 17;
-                let other = usize::try_from(draw % (place as u64 + 1)).expect("a small number");
-                order.swap(place, other);
+                order.swap(place, draw.next() % (place + 1));
             }
             order
         };
         let orders = teams
             .iter()
             .map(|team| (0..team.callers).map(|_| order()).collect());
+        let orders = orders.collect();
+        let mut gateways: Vec<Gateway> = us_per_ms.iter().map(|us| Gateway::new(*us)).collect();
+        for (place, gateway) in gateways.iter_mut().enumerate() {
+            let others = (0..us_per_ms.len()).filter(|other| *other != place);
+            let others: Vec<SocketAddr> = others.map(address_of).collect();
+            gateway.nearby.named(Duration::ZERO, &others);
+        }
         Self {
-            orders: orders.collect(),
-            gateways: us_per_ms.iter().map(|us| Gateway::new(*us)).collect(),
+            orders,
+            gateways,
+            draw,
             asked: vec![BTreeMap::new(); teams.len()],
             begun: vec![BTreeMap::new(); teams.len()],
             teams: teams.to_vec(),
@@ -216,8 +253,10 @@
     fn work(&mut self, place: usize) {
         self.end_streams(place);
         let gateway = &mut self.gateways[place];
-        let begun = gateway.streams.iter();
-        let steps = begun.filter(|stream| (stream.ends_ms - self.now_ms).is_multiple_of(STEP_MS));
+        let streams = gateway.streams.iter().map(|stream| stream.ends_ms);
+        let handed_off = gateway.handed_off.iter().map(|(ends_ms, _)| *ends_ms);
+        let passed_on = streams.chain(handed_off);
+        let steps = passed_on.filter(|ends_ms| (ends_ms - self.now_ms).is_multiple_of(STEP_MS));
         gateway.owed_us += steps.count() as u64 * STEP_US;
         while self.gateways[place].owed_us < self.gateways[place].us_per_ms {
             let Some(request) = self.gateways[place].arrived.pop_front() else {
@@ -245,16 +284,63 @@
         {
             gateway.overload.ended(self.teams[stream.team].name);
         }
+        while let Some((_, address)) = gateway
+            .handed_off
+            .pop_front_if(|(ends_ms, _)| *ends_ms <= self.now_ms)
+        {
+            gateway.nearby.ended(address);
+        }
     }
 
     fn decide(&mut self, place: usize, request: Request) {
         let team = self.teams[request.team].name;
-        let gateway = &mut self.gateways[place];
-        if gateway.overload.try_begin(team).is_err() {
-            gateway.owed_us += REFUSE_US;
-            self.retry(request);
+        let Err(overloaded) = self.gateways[place].overload.try_begin(team) else {
+            self.begin(place, request);
+            return;
+        };
+        if self.hand_off(place, request) {
+            let gateway = &mut self.gateways[place];
+            gateway.overload.handed_off();
+            gateway.owed_us += HAND_OFF_US;
             return;
         }
+        let gateway = &mut self.gateways[place];
+        gateway.overload.refuse(&overloaded);
+        gateway.owed_us += REFUSE_US;
+        self.retry(request);
+    }
+
+    /// Hands a request off, and returns whether another gateway takes it.
+    fn hand_off(&mut self, place: usize, request: Request) -> bool {
+        let now = Duration::from_millis(self.now_ms);
+        let team = self.teams[request.team].name;
+        let mut asked = Vec::new();
+        while asked.len() < MOST_ASKED {
+            let draw = &mut self.draw;
+            let nearby = &mut self.gateways[place].nearby;
+            let Some(address) = nearby.choose(now, &asked, || draw.next()) else {
+                return false;
+            };
+            asked.push(address);
+            let other = usize::from(address.port());
+            if self.gateways[other].overload.try_take_over(team) {
+                self.begin(other, request);
+                let ends_ms = self.now_ms + STREAM_MS;
+                let handed_off = &mut self.gateways[place].handed_off;
+                handed_off.push_back((ends_ms, address));
+                return true;
+            }
+            self.gateways[other].owed_us += REFUSE_US;
+            let gateway = &mut self.gateways[place];
+            gateway.nearby.ended(address);
+            gateway.nearby.rests(now, address, NO_ROOM_REST);
+            gateway.owed_us += HAND_OFF_US;
+        }
+        false
+    }
+
+    fn begin(&mut self, place: usize, request: Request) {
+        let gateway = &mut self.gateways[place];
         gateway.owed_us += BEGIN_US;
         gateway.streams.push_back(Stream {
             team: request.team,
--- a/crates/routing/tests/overload.rs
+++ b/crates/routing/tests/overload.rs
@@ -112,13 +112,14 @@
     }
 
     fn ask(&mut self, team: &'static str) {
-        if self.overload.try_begin(team).is_ok() {
+        if let Err(overloaded) = self.overload.try_begin(team) {
+            self.overload.refuse(&overloaded);
+            self.ready_us += REFUSE_US;
+            self.refused.push(team);
+        } else {
             self.ready_us += BEGIN_US;
             self.streams.push_back((self.now_ms + STREAM_MS, team));
             self.begun.push(team);
-        } else {
-            self.ready_us += REFUSE_US;
-            self.refused.push(team);
         }
     }
 
@@ -235,11 +236,63 @@
             assert!(!gateway.overload.is_closed());
         }
     }
+    a_gateway_that_hands_off_what_it_has_no_room_for_stays_in_rotation => {
+        let rules = OverloadRules { least: 1, most: 1, ..OverloadRules::default() };
+        let mut overload = Overload::new(rules);
+        overload.try_begin("a").expect("there is room");
+        for window in 1..=20 {
+            for _ in 0..50 {
+                overload.try_begin("b").expect_err("there is room for one");
+                overload.handed_off();
+            }
+            overload.ticked(Duration::from_millis(200 * window), Duration::ZERO);
+            assert!(!overload.is_full() && !overload.is_closed());
+        }
+        assert_eq!(overload.take_tally().handed_off, 1_000);
+    }
+    a_gateway_that_is_short_of_processor_time_takes_nothing_over => {
+        let mut overload = Overload::new(OverloadRules::default());
+        assert!(overload.try_take_over("a"));
+        overload.ended("a");
+        overload.ticked(Duration::from_millis(200), Duration::from_millis(30));
+        assert!(!overload.try_take_over("a"));
+        overload.ticked(Duration::from_millis(400), Duration::ZERO);
+        assert!(overload.try_take_over("a"));
+    }
+    what_is_taken_over_leaves_room_for_a_gateways_own_callers => {
+        let rules = OverloadRules { least: 20, most: 20, ..OverloadRules::default() };
+        let mut overload = Overload::new(rules);
+        let taken = (0..20).filter(|_| overload.try_take_over("a")).count();
+        assert_eq!(taken, 15);
+        for _ in 0..5 {
+            overload.try_begin("b").expect("there is room");
+        }
+    }
+    one_window_of_lag_shuts_nobody_out => {
+        // A new table of many routes takes a small processor as long.
+        let mut overload = Overload::new(OverloadRules::default());
+        overload.ticked(Duration::from_millis(200), Duration::from_millis(150));
+        for _ in 0..100 {
+            overload.connected();
+        }
+        assert!(!overload.is_closed());
+    }
+    open_connections_are_closed_one_by_one_while_the_lag_is_high => {
+        let mut overload = Overload::new(OverloadRules::default());
+        for _ in 0..40 {
+            overload.handed_off();
+        }
+        overload.ticked(Duration::from_millis(200), Duration::from_millis(50));
+        assert_eq!((0..40).filter(|_| overload.closes_one()).count(), 10);
+        overload.ticked(Duration::from_millis(400), Duration::ZERO);
+        assert!(!overload.closes_one());
+    }
     a_single_refusal_keeps_nobody_away => {
         let rules = OverloadRules { least: 1, most: 1, ..OverloadRules::default() };
         let mut overload = Overload::new(rules);
         overload.try_begin("a").expect("there is room");
-        overload.try_begin("b").expect_err("there is room for one");
+        let overloaded = overload.try_begin("b").expect_err("there is room for one");
+        overload.refuse(&overloaded);
         for window in 1..=10 {
             overload.ticked(Duration::from_millis(200 * window), Duration::ZERO);
             assert!(!overload.is_full());
