Catch signals from the first line of the program on

With SIGTERM a planned stop became a kill, in a moment in which the gateway already took callers.

Cause: signals were caught where they were first waited for, for SIGTERM after everything was bound, at control after its log was open.

Now main catches SIGTERM, SIGINT and SIGHUP before anything else and keeps them; roles take them from there. A stop before anything is bound ends the process at once.

New tests send both signals to each of eight roles at each step of its start; on the former code all eight fail, ended by signal 15 at the first step.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -15,6 +15,7 @@
 use hinge_telemetry::readiness::{Readiness, Reason};
 
 use crate::reload;
+use crate::signals::Signals;
 
 /// Holds what every role needs.
 #[derive(Debug)]
@@ -26,16 +27,17 @@
     pub(crate) client: Client,
     pub(crate) registry: Arc<Registry>,
     pub(crate) readiness: Arc<Readiness>,
+    pub(crate) signals: Signals,
     /// Number that this process draws at its start.
     pub(crate) incarnation: u64,
 }
 
 impl Context {
     /// Reads the cluster key and creates the parts that no role can do without.
-    pub(crate) fn open(settings: Settings) -> Result<Self> {
+    pub(crate) fn open(settings: Settings, signals: Signals) -> Result<Self> {
         if let Some(key) = &settings.cluster_key {
             let key = ClusterKey::derive(key.as_bytes());
-            return Ok(Self::with_key(settings, key));
+            return Ok(Self::with_key(settings, key, signals));
         }
         let Some(path) = &settings.cluster_key_file else {
             bail!(
@@ -43,10 +45,8 @@
             );
         };
         let secret = Secret::read(path).context("reading the cluster key")?;
-        Ok(Self::with_key(
-            settings,
-            ClusterKey::derive(secret.expose()),
-        ))
+        let key = ClusterKey::derive(secret.expose());
+        Ok(Self::with_key(settings, key, signals))
     }
 
     /// Returns the context of a process whose settings stand in a file.
@@ -63,11 +63,12 @@
     ///
     /// Returns an error when the signal can't be watched.
     pub(crate) fn reload(&self, apply: impl Fn(&Settings) + Send + 'static) -> Result<()> {
-        reload::spawn(self.settings_file.clone(), self.settings.clone(), apply)
+        let (path, held) = (self.settings_file.clone(), self.settings.clone());
+        reload::spawn(path, held, &self.signals, apply)
     }
 
     /// Creates the parts with a key that is known already.
-    pub(crate) fn with_key(settings: Settings, key: ClusterKey) -> Self {
+    pub(crate) fn with_key(settings: Settings, key: ClusterKey, signals: Signals) -> Self {
         let registry = Registry::new();
         let key = key.with_traffic(count_traffic(&registry));
         Self {
@@ -76,6 +77,7 @@
             key,
             registry: Arc::new(registry),
             readiness: Arc::new(Readiness::new(&[Reason::Starting])),
+            signals,
             incarnation: draw_incarnation(),
             settings,
         }
--- a/crates/daemon/src/flags.rs
+++ b/crates/daemon/src/flags.rs
@@ -19,23 +19,43 @@
     Local,
 }
 
+impl RoleFlag {
+    const ALL: [Self; 8] = [
+        Self::Entry,
+        Self::Sidecar,
+        Self::Control,
+        Self::Gateway,
+        Self::Admission,
+        Self::Relay,
+        Self::StandIn,
+        Self::Local,
+    ];
+
+    /// Returns the word of the command line.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Entry => "entry",
+            Self::Sidecar => "sidecar",
+            Self::Control => "control",
+            Self::Gateway => "gateway",
+            Self::Admission => "admission",
+            Self::Relay => "relay",
+            Self::StandIn => "stand-in",
+            Self::Local => "local",
+        }
+    }
+}
+
 impl FromStr for RoleFlag {
     type Err = String;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        match text {
-            "entry" => Ok(Self::Entry),
-            "sidecar" => Ok(Self::Sidecar),
-            "control" => Ok(Self::Control),
-            "gateway" => Ok(Self::Gateway),
-            "admission" => Ok(Self::Admission),
-            "relay" => Ok(Self::Relay),
-            "stand-in" => Ok(Self::StandIn),
-            "local" => Ok(Self::Local),
-            other => Err(format!(
-                "unknown role `{other}`; allowed are entry, sidecar, control, gateway, admission, relay, stand-in and local"
-            )),
-        }
+        let role = Self::ALL.into_iter().find(|role| role.name() == text);
+        role.ok_or_else(|| {
+            format!(
+                "unknown role `{text}`; allowed are entry, sidecar, control, gateway, admission, relay, stand-in and local"
+            )
+        })
     }
 }
 
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -4,7 +4,7 @@
 mod flags;
 mod reload;
 mod roles;
-mod stop;
+mod signals;
 
 use std::process::ExitCode;
 
@@ -12,11 +12,20 @@
 use hinge_schema::settings::Settings;
 
 use crate::flags::{Flags, RoleFlag};
+use crate::signals::Signals;
 
 /// Exit code of settings that are not valid; 1 is any other failure.
 const EXIT_SETTINGS: u8 = 2;
 
 fn main() -> ExitCode {
+    // Before anything else: until then a signal ends the process.
+    let signals = match Signals::catch() {
+        Ok(signals) => signals,
+        Err(error) => {
+            eprintln!("sequoiahinge: catching signals: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
     let flags = Flags::parse();
     let settings = match load(&flags) {
         Ok(settings) => settings,
@@ -29,7 +38,7 @@
         println!("The settings are valid.");
         return ExitCode::SUCCESS;
     }
-    let ended = roles::run(&flags, settings);
+    let ended = roles::run(&flags, settings, &signals);
     hinge_telemetry::log::finish();
     match ended {
         Ok(code) => code,
--- a/crates/daemon/src/reload.rs
+++ b/crates/daemon/src/reload.rs
@@ -8,15 +8,16 @@
 use hinge_schema::settings::Settings;
 use hinge_telemetry::log::Part;
 use hinge_telemetry::{info, warn};
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::sleep;
 
+use crate::signals::Signals;
+
 /// Time between two looks at the file, for changes that no signal tells of.
 const LOOK_EVERY: Duration = Duration::from_secs(1);
 
 /// Watches the settings file until the process ends, and hands each new content to `apply`.
 ///
-/// The signal is caught from the return of this function on; by default it would end the process.
+/// A signal that came before, since the process started, makes it read the file at once.
 ///
 /// # Errors
 ///
@@ -24,16 +25,18 @@
 pub(crate) fn spawn(
     path: Option<PathBuf>,
     held: Settings,
+    signals: &Signals,
     apply: impl Fn(&Settings) + Send + 'static,
 ) -> Result<()> {
-    let mut hangup = signal(SignalKind::hangup()).context("watching for SIGHUP")?;
+    let (mut hangup, mut came_before) = signals.watch_hangup().context("watching for SIGHUP")?;
     tokio::spawn(async move {
         let mut held = held;
         loop {
-            let by_signal = tokio::select! {
-                _ = hangup.recv() => true,
-                () = sleep(LOOK_EVERY) => false,
-            };
+            let by_signal = std::mem::take(&mut came_before)
+                || tokio::select! {
+                    _ = hangup.recv() => true,
+                    () = sleep(LOOK_EVERY) => false,
+                };
             let Some(path) = &path else {
                 continue;
             };
--- a/crates/daemon/src/roles.rs
+++ b/crates/daemon/src/roles.rs
@@ -15,11 +15,14 @@
 use anyhow::{Context as _, Result};
 use hinge_member::Member;
 use hinge_schema::settings::Settings;
+use hinge_telemetry::info;
+use hinge_telemetry::log::Part;
 use hinge_telemetry::readiness::{Readiness, Reason};
 use tokio::runtime::{Builder, Runtime};
 
 use crate::context::{Context, start_logs};
 use crate::flags::{Flags, RoleFlag};
+use crate::signals::Signals;
 
 /// Settings of the roles `local` and `stand-in` when no file is named.
 pub(crate) const LOCAL_SETTINGS: &str = include_str!("../../../examples/settings/local.toml");
@@ -35,9 +38,22 @@
 /// # Errors
 ///
 /// Returns an error when the role can't start.
-pub(crate) fn run(flags: &Flags, settings: Settings) -> Result<ExitCode> {
+pub(crate) fn run(flags: &Flags, settings: Settings, signals: &Signals) -> Result<ExitCode> {
     start_logs(&settings);
-    let open = |settings| Ok(Context::open(settings)?.with_file(flags.settings.clone()));
+    info!(
+        Part::Daemon,
+        "Starting.",
+        role = flags.role().name(),
+        instance = settings.instance
+    );
+    if signals.is_stop_requested() {
+        info!(Part::Daemon, "Stopped before anything was bound.");
+        return Ok(ExitCode::SUCCESS);
+    }
+    let open = |settings| {
+        let context = Context::open(settings, signals.clone())?;
+        Ok(context.with_file(flags.settings.clone()))
+    };
     let open: &dyn Fn(Settings) -> Result<Context> = &open;
     match flags.role() {
         RoleFlag::Entry => all_cores()?.block_on(entry::run(open(settings)?)),
@@ -46,8 +62,8 @@
         RoleFlag::Gateway => one_thread()?.block_on(gateway::run(open(settings)?)),
         RoleFlag::Admission => one_thread()?.block_on(admission::run(open(settings)?)),
         RoleFlag::Relay => few_threads()?.block_on(relay::run(open(settings)?)),
-        RoleFlag::StandIn => few_threads()?.block_on(stand_in::run(&settings)),
-        RoleFlag::Local => all_cores()?.block_on(local::run(flags, settings)),
+        RoleFlag::StandIn => few_threads()?.block_on(stand_in::run(&settings, signals)),
+        RoleFlag::Local => all_cores()?.block_on(local::run(flags, settings, signals)),
     }
 }
 
--- a/crates/daemon/src/roles/admission.rs
+++ b/crates/daemon/src/roles/admission.rs
@@ -9,7 +9,6 @@
 use hinge_telemetry::readiness::Reason;
 
 use crate::context::Context;
-use crate::stop;
 
 /// Longest time of a planned stop; gateways that lose the admission send unasked, so nothing is cut.
 const STOP_TIMEOUT: Duration = Duration::from_secs(2);
@@ -35,7 +34,7 @@
         .await
         .with_context(|| format!("binding the address for gateways {address}"))?;
     context.readiness.clear(Reason::Starting);
-    stop::requested().await?;
+    context.signals.stop_requested().await?;
     context.readiness.set(Reason::Leaving);
     let is_clean = server.stop(STOP_TIMEOUT).await;
     admin.stop().await;
--- a/crates/daemon/src/roles/control.rs
+++ b/crates/daemon/src/roles/control.rs
@@ -10,7 +10,6 @@
 use hinge_telemetry::readiness::Reason;
 
 use crate::context::Context;
-use crate::stop;
 
 /// Longest time of a planned stop: handing over leadership takes a few heartbeats, and no request runs here.
 const STOP_TIMEOUT: Duration = Duration::from_secs(10);
@@ -38,7 +37,7 @@
     let admin = context.bind_admin("control").await?;
     let control = open(&context, operators).await?;
     tokio::select! {
-        requested = stop::requested() => requested?,
+        requested = context.signals.stop_requested() => requested?,
         cause = control.failed() => bail!("the replicated log has stopped: {cause}"),
     }
     context.readiness.set(Reason::Leaving);
--- a/crates/daemon/src/roles/entry.rs
+++ b/crates/daemon/src/roles/entry.rs
@@ -10,7 +10,6 @@
 use hinge_telemetry::readiness::Reason;
 
 use crate::context::Context;
-use crate::stop;
 
 /// Runs an entry until it is told to stop.
 pub(super) async fn run(context: Context) -> Result<ExitCode> {
@@ -18,7 +17,7 @@
     context.reload(|_settings| {})?;
     let admin = context.bind_admin("entry").await?;
     let (entry, _member) = bind(&context).await?;
-    stop::requested().await?;
+    context.signals.stop_requested().await?;
     context.readiness.set(Reason::Leaving);
     let report = entry
         .drain(super::millis(context.settings.entry.drain_timeout_ms))
--- a/crates/daemon/src/roles/gateway.rs
+++ b/crates/daemon/src/roles/gateway.rs
@@ -12,7 +12,6 @@
 use hinge_telemetry::readiness::Reason;
 
 use crate::context::{Context, control_addresses};
-use crate::stop;
 
 /// Each of two waits for the rest of an answer that an engine no longer works on; a lost packet is sent again in it.
 const LOST_GRACE: Duration = Duration::from_millis(200);
@@ -69,7 +68,7 @@
         seeds.send_replace(control_addresses(settings));
     })?;
     context.readiness.clear(Reason::Starting);
-    stop::requested().await?;
+    context.signals.stop_requested().await?;
     hinge_telemetry::info!(Part::Gateway, "Stopping as planned.");
     let is_clean = gateway
         .drain(
--- a/crates/daemon/src/roles/local.rs
+++ b/crates/daemon/src/roles/local.rs
@@ -17,7 +17,7 @@
 use super::{control, entry, sidecar, stand_in};
 use crate::context::Context;
 use crate::flags::Flags;
-use crate::stop;
+use crate::signals::Signals;
 
 /// Longest wait for one answer of control.
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
@@ -40,14 +40,15 @@
 const SERVICE_POOL: &str = "surf-api";
 
 /// Runs all roles until the process is told to stop.
-pub(super) async fn run(flags: &Flags, settings: Settings) -> Result<ExitCode> {
+pub(super) async fn run(flags: &Flags, settings: Settings, signals: &Signals) -> Result<ExitCode> {
     let secret = draw_secret();
     let key = ClusterKey::derive(secret.as_bytes());
-    let mut context = Context::with_key(settings, key);
+    let mut context = Context::with_key(settings, key, signals.clone());
     let admin = context.bind_admin("local").await?;
 
     let operators = OperatorKeys::parse(&format!("{OPERATOR} = \"{secret}\""))?;
-    let control_context = Context::with_key(alone(&context.settings), context.key.clone());
+    let part = |settings| Context::with_key(settings, context.key.clone(), signals.clone());
+    let control_context = part(alone(&context.settings));
     let control = control::open(&control_context, operators).await?;
     context.settings.control_addresses = vec![control.local_address()];
 
@@ -58,8 +59,7 @@
         EndpointKind::Model,
         MODEL_POOL,
     );
-    let sidecar_context =
-        Context::with_key(renamed(&context.settings, "sidecar"), context.key.clone());
+    let sidecar_context = part(renamed(&context.settings, "sidecar"));
     let sidecar = sidecar::bind(&sidecar_context, &endpoint).await?;
     let service = guarded(
         &context.settings,
@@ -67,17 +67,27 @@
         EndpointKind::Service,
         SERVICE_POOL,
     );
-    let service_context =
-        Context::with_key(renamed(&context.settings, "service"), context.key.clone());
+    let service_context = part(renamed(&context.settings, "service"));
     let service = sidecar::bind(&service_context, &service).await?;
     let (entry, member) = entry::bind(&context).await?;
 
     let files = read_folder(flags.folder.as_deref())?;
-    apply(&control.local_address().to_string(), &secret, files).await?;
-    wait_until_ready(&context, &member).await?;
-    print_first_request(&entry);
-
-    stop::requested().await?;
+    let control_address = control.local_address().to_string();
+    let start = async {
+        apply(&control_address, &secret, files).await?;
+        wait_until_ready(&context, &member).await
+    };
+    // The terminal may be closed at any time; there are no settings to read again.
+    let stop = signals.stop_or_hangup_requested();
+    tokio::pin!(stop);
+    tokio::select! {
+        started = start => {
+            started?;
+            print_first_request(&entry);
+            stop.await?;
+        }
+        requested = &mut stop => requested?,
+    }
     let entry_report = entry.drain(STOP_TIMEOUT).await;
     let sidecar_report = sidecar.drain(STOP_TIMEOUT).await;
     let service_report = service.drain(STOP_TIMEOUT).await;
--- a/crates/daemon/src/roles/relay.rs
+++ b/crates/daemon/src/roles/relay.rs
@@ -9,7 +9,6 @@
 use hinge_telemetry::readiness::Reason;
 
 use crate::context::Context;
-use crate::stop;
 
 /// Longest time of a planned stop: a relay only holds open watches.
 const STOP_TIMEOUT: Duration = Duration::from_secs(5);
@@ -24,7 +23,7 @@
         .context("opening the relay")?;
     context.readiness.clear(Reason::Starting);
     hinge_telemetry::info!(Part::Relay, "Listening.", address = relay.local_address());
-    stop::requested().await?;
+    context.signals.stop_requested().await?;
     context.readiness.set(Reason::Leaving);
     let is_clean = relay.stop(STOP_TIMEOUT).await;
     admin.stop().await;
--- a/crates/daemon/src/roles/sidecar.rs
+++ b/crates/daemon/src/roles/sidecar.rs
@@ -12,7 +12,6 @@
 use hinge_telemetry::readiness::Reason;
 
 use crate::context::Context;
-use crate::stop;
 
 /// Runs a sidecar until it is told to stop.
 pub(super) async fn run(context: Context) -> Result<ExitCode> {
@@ -23,7 +22,7 @@
     context.reload(|_settings| {})?;
     let admin = context.bind_admin("sidecar").await?;
     let sidecar = bind(&context, &given).await?;
-    stop::requested().await?;
+    context.signals.stop_requested().await?;
     context.readiness.set(Reason::Leaving);
     let report = sidecar.drain(super::millis(given.drain_timeout_ms)).await;
     admin.stop().await;
--- a/crates/daemon/src/roles/stand_in.rs
+++ b/crates/daemon/src/roles/stand_in.rs
@@ -8,15 +8,15 @@
 use hinge_schema::settings::Settings;
 use hinge_telemetry::log::Part;
 
-use crate::stop;
+use crate::signals::Signals;
 
 /// Longest time of a planned stop.
 const STOP_TIMEOUT: Duration = Duration::from_mins(1);
 
 /// Runs a stand-in until it is told to stop.
-pub(super) async fn run(settings: &Settings) -> Result<ExitCode> {
+pub(super) async fn run(settings: &Settings, signals: &Signals) -> Result<ExitCode> {
     let stand_in = bind(settings).await?;
-    stop::requested().await?;
+    signals.stop_or_hangup_requested().await?;
     Ok(super::code_of(stand_in.stop(STOP_TIMEOUT).await))
 }
 
--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -16,5 +16,6 @@
 mod process;
 mod reload;
 mod reserve;
+mod signals;
 mod started;
 mod whole_path;
