Compare what control was told with what is true after each reply

Operators waited up to a third of a lease for a drained endpoint that had nothing left to do, where the reply that brought the drain was under way when the last run ended.

Cause: whether the end is told at once was decided only where the run ends, by whether the sidecar knew itself drained then.

Now the announcing task compares the announcement with the state after each reply, and waits only where they agree. The running count and the drain are stored and read in one total order, since each side writes one and reads the other.

--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -179,13 +179,30 @@
     /// It goes with the next announcement, or at once when the last one ends while the process is leaving or drained.
     pub fn set_running(&self, running: u32) {
         let shared = &self.shared;
-        let before = shared.running.swap(running, Ordering::AcqRel);
-        let is_drained = self.is_leaving() || shared.drained.load(Ordering::Acquire);
-        if before > 0 && running == 0 && is_drained {
+        let before = shared.running.swap(running, Ordering::SeqCst);
+        if before > 0 && running == 0 && self.is_drained() {
             shared.announce_now.notify_one();
         }
     }
 
+    /// Returns whether the process takes no new work, by its own word or by control's.
+    fn is_drained(&self) -> bool {
+        self.is_leaving() || self.shared.drained.load(Ordering::SeqCst)
+    }
+
+    /// Returns whether control must hear at once of what has changed since an announcement.
+    ///
+    /// What changes while an announcement is under way may matter only by the reply to it.
+    pub(crate) fn owes_word(&self, told: &Announce) -> bool {
+        let now = self.announcement();
+        let last_run_ended = told.running > Some(0) && now.running == Some(0) && self.is_drained();
+        last_run_ended
+            || told.leaving != now.leaving
+            || told.ejected != now.ejected
+            || told.model_version != now.model_version
+            || told.peer_address != now.peer_address
+    }
+
     /// Records whether the endpoint gets no work because it failed, and announces a change at once.
     pub fn set_ejected(&self, is_ejected: bool) {
         let before = self.shared.ejected.swap(is_ejected, Ordering::AcqRel);
@@ -296,7 +313,7 @@
             config_version: self.config_version(),
             highest_fence: shared.highest_fence.load(Ordering::Acquire),
             leaving: self.is_leaving(),
-            running: is_sidecar.then(|| shared.running.load(Ordering::Acquire)),
+            running: is_sidecar.then(|| shared.running.load(Ordering::SeqCst)),
             ejected: is_sidecar.then(|| shared.ejected.load(Ordering::Acquire)),
             model_version: Box::clone(&shared.model_version.load()),
             peer_address: Box::clone(&shared.peer_address.load()),
@@ -308,7 +325,7 @@
         let shared = &self.shared;
         shared.fence.fetch_max(announced.fence, Ordering::AcqRel);
         let is_drained = announced.drained == Some(true);
-        shared.drained.store(is_drained, Ordering::Release);
+        shared.drained.store(is_drained, Ordering::SeqCst);
         shared.fence_known.store(true, Ordering::Release);
         shared
             .required_version
--- a/crates/member/src/tasks.rs
+++ b/crates/member/src/tasks.rs
@@ -4,7 +4,7 @@
 
 use hinge_config::held::Applied;
 use hinge_link::Client;
-use hinge_schema::messages::{Announced, Role, Update, Watch};
+use hinge_schema::messages::{Announce, Announced, Role, Update, Watch};
 use hinge_telemetry::log::Part;
 use hinge_telemetry::{info, warn};
 use tokio::time::{sleep, timeout};
@@ -95,12 +95,18 @@
                 backoff.fail(&mut rand::rng())
             }
         };
-        // A change that is announced at once must not turn into a busy loop while control is away.
-        let _woken_or_elapsed = timeout(wait, member.shared.announce_now.notified()).await;
+        let _changed_or_elapsed = timeout(wait, owes_word(&member, &announcement)).await;
         member.expire_members();
     }
 }
 
+/// Waits until control must hear at once of what has changed since an announcement.
+async fn owes_word(member: &Member, told: &Announce) {
+    while !member.owes_word(told) {
+        member.shared.announce_now.notified().await;
+    }
+}
+
 fn note_known(is_known: &mut bool, control: &Control) {
     if !*is_known {
         info!(
