Hold the end of an answer until control has been told of its run

Cause: its run could end before the announcement with it was put together, and then no word of an end is owed.

The stand-in can hold the last part of an answer back; the test lets it go once control has heard of one run. The check after it is unchanged. A grant is counted before its entry hears of it, so that a later announcement has it.

--- a/crates/fakes/src/stand_in/answers.rs
+++ b/crates/fakes/src/stand_in/answers.rs
@@ -221,7 +221,7 @@
         pause,
         fault,
         running,
-        _slot: slot,
+        slot,
     };
     let body = stream::unfold(Some(feed), Feed::next).boxed();
     let body = Body::wrap(StreamBody::new(body));
@@ -270,12 +270,15 @@
     pause: Duration,
     fault: Option<Fault>,
     running: Running,
-    _slot: Slot,
+    slot: Slot,
 }
 
 impl Feed {
     async fn next(feed: Option<Self>) -> Option<(std::io::Result<Frame<Bytes>>, Option<Self>)> {
         let mut feed = feed?;
+        if feed.parts.len() == 1 && feed.fault == Some(Fault::HoldEnd) {
+            feed.slot.0.faults.over(Fault::HoldEnd).await;
+        }
         if let Some(part) = feed.parts.next() {
             if !feed.pause.is_zero() {
                 tokio::time::sleep(feed.pause).await;
--- a/crates/fakes/src/stand_in/faults.rs
+++ b/crates/fakes/src/stand_in/faults.rs
@@ -1,8 +1,9 @@
 //! Holds the fault that the stand-in shows.
 
-use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
+use tokio::sync::watch;
+
 /// Says how the stand-in fails; requests that begin while it is set are hit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
@@ -18,6 +19,8 @@
         /// Bytes that are still sent.
         after_bytes: usize,
     },
+    /// Holds the last part of the answer's body back until another fault, or none, is set.
+    HoldEnd,
     /// Answers with this status before running anything.
     Status {
         /// HTTP status.
@@ -34,21 +37,28 @@
 
 #[derive(Debug)]
 pub(super) struct Faults {
-    now: Mutex<Option<Fault>>,
+    now: watch::Sender<Option<Fault>>,
 }
 
 impl Faults {
     pub(super) fn new(fault: Option<Fault>) -> Self {
         Self {
-            now: Mutex::new(fault),
+            now: watch::Sender::new(fault),
         }
     }
 
     pub(super) fn set(&self, fault: Option<Fault>) {
-        *self.now.lock().unwrap_or_else(PoisonError::into_inner) = fault;
+        self.now.send_replace(fault);
     }
 
     pub(super) fn get(&self) -> Option<Fault> {
-        *self.now.lock().unwrap_or_else(PoisonError::into_inner)
+        *self.now.borrow()
+    }
+
+    /// Waits until this fault is no longer set.
+    pub(super) async fn over(&self, fault: Fault) {
+        let mut now = self.now.subscribe();
+        let told = now.wait_for(|now| *now != Some(fault)).await;
+        assert!(told.is_ok(), "the sender is held here");
     }
 }
--- a/crates/sidecar/src/shell.rs
+++ b/crates/sidecar/src/shell.rs
@@ -133,6 +133,9 @@
 
     /// Carries out what followed from what the core was told.
     fn settle(&self, state: &mut State) {
+        // Before an entry hears of a grant, so that every later announcement counts it.
+        let running = u32::try_from(state.core.open_grants()).unwrap_or(u32::MAX);
+        self.member.set_running(running);
         for action in state.core.take_actions() {
             self.carry_out(state, action);
         }
@@ -140,8 +143,6 @@
             self.metrics.note_waiting(&change);
         }
         self.metrics.set_load(state.core.load());
-        let running = u32::try_from(state.core.open_grants()).unwrap_or(u32::MAX);
-        self.member.set_running(running);
     }
 
     fn carry_out(&self, state: &mut State, action: Action) {
--- a/crates/sidecar/tests/sidecar/orders.rs
+++ b/crates/sidecar/tests/sidecar/orders.rs
@@ -179,10 +179,17 @@
     }
     the_end_of_the_last_run_of_a_drained_sidecar_is_announced_at_once => {
         let control = Control::bind().await;
-        let bed = Bed::under(&control.address(), StandInSettings::default(), |_| ()).await;
+        let held = StandInSettings { fault: Some(Fault::HoldEnd), ..StandInSettings::default() };
+        let bed = Bed::under(&control.address(), held, |_| ()).await;
         bed.until_announced().await;
         let (mut entry, _) = bed.stream(offer(1), 20).await;
         bed.member.set_model_version("2");
+        // The run ends only once control knows of it; otherwise no word of its end is owed.
+        let mut announced = control.announced.clone();
+        let is_busy = |all: &Vec<Announce>| all.iter().any(|announce| announce.running == Some(1));
+        let told = tokio::time::timeout(WAIT, announced.wait_for(is_busy)).await;
+        told.expect("the new version is announced").expect("control lives");
+        bed.stand_in.set_fault(None);
         entry.whole().await.expect("the answer is whole");
         let has_told = |all: &Vec<Announce>| {
             let busy = all.iter().position(|announce| announce.running == Some(1));
