Follow control on a thread of its own

Callers of a flooded gateway were served by an older table than everybody else's, and what it handed off was declined for that reason. An accepted configuration came into force there seconds later.

Cause: an answer of control waited behind hundreds of requests on the gateway's one thread, several times until its table was in force.

The client of that thread is its own, since connections are served by the runtime that opened them.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -30,6 +30,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::admit::Ways;
+use crate::apart::Apart;
 use crate::connections::Connections;
 use crate::dialect::Dialect;
 use crate::door::Door;
@@ -191,7 +192,7 @@
     serving: JoinSet<()>,
     handoff_address: Option<SocketAddr>,
     lag: JoinHandle<()>,
-    following: JoinHandle<()>,
+    _following: Apart,
 }
 
 impl Gateway {
@@ -256,7 +257,8 @@
         let lag = load::watch_lag(Arc::clone(&shared), Arc::clone(&readiness));
         let lag = tokio::spawn(lag);
         let following = follow_control(
-            client,
+            // Its connections are served on the thread that follows.
+            Client::new(key),
             settings.instance,
             ready_address,
             given,
@@ -264,7 +266,7 @@
             Arc::clone(&readiness),
             meeting,
         );
-        let following = tokio::spawn(following);
+        let following = Apart::spawn("follow-control", following)?;
         info!(
             Part::Gateway,
             "Listening.",
@@ -281,7 +283,7 @@
             serving,
             handoff_address,
             lag,
-            following,
+            _following: following,
         })
     }
 
@@ -326,7 +328,6 @@
         let has_ended = has_ended.await.is_ok();
         self.serving.abort_all();
         self.lag.abort();
-        self.following.abort();
         has_ended
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admit;
 mod answer;
+mod apart;
 mod attempt;
 mod batch;
 mod body;
