--- a/crates/admission/tests/model/mod.rs
+++ b/crates/admission/tests/model/mod.rs
@@ -384,7 +384,8 @@
     /// Tells the load of an engine where it is due; each engine tells it at other moments.
     fn tell_load(&mut self, place: usize) {
         let every = load_interval(ENGINES, true);
-        let shift = every / 12 * u32::try_from(place).expect("engines are few");
+        let place_in_turn = u32::try_from(place).expect("engines are few");
+        let shift = every * place_in_turn / u32::try_from(ENGINES).expect("engines are few");
         if (ms(self.now_ms) + shift)
             .as_millis()
             .is_multiple_of(every.as_millis())
--- a/crates/member/tests/announce.rs
+++ b/crates/member/tests/announce.rs
@@ -1,5 +1,7 @@
 //! Checks that control hears at once of what changes while an announcement is under way.
 
+mod support;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,6 +12,8 @@
 use tokio::sync::{Semaphore, watch};
 use viz::{Request, Router};
 
+use support::announce;
+
 /// Ends a case that hangs; no case waits for it to pass.
 const WAIT: Duration = Duration::from_secs(30);
 
@@ -74,21 +78,10 @@
 
 fn sidecar() -> Announce {
     Announce {
-        config_version: 0,
-        data_center: "hall-a".into(),
-        highest_fence: 0,
-        incarnation: 1,
-        instance: "sidecar-1".into(),
-        kv_tokens: 0,
-        lease_ms: 600_000,
-        leaving: false,
-        running: None,
-        ejected: None,
-        model_version: "".into(),
         peer_address: "127.0.0.1:1".into(),
         pool: "forecast".into(),
-        role: Role::Sidecar,
         slots: 4,
+        ..announce("sidecar-1", Role::Sidecar)
     }
 }
 
--- a/crates/member/tests/learn.rs
+++ b/crates/member/tests/learn.rs
@@ -1,5 +1,7 @@
 //! Checks that what a process has learnt never steps back, whatever order it arrives in.
 
+mod support;
+
 use std::time::Duration;
 
 use hinge_cases::{async_cases, cases};
@@ -11,24 +13,10 @@
 use quickcheck::quickcheck;
 use viz::{Request, Router};
 
-fn announce() -> Announce {
-    Announce {
-        config_version: 0,
-        data_center: "hall-a".into(),
-        highest_fence: 0,
-        incarnation: 1,
-        instance: "entry-1".into(),
-        kv_tokens: 0,
-        lease_ms: 6_000,
-        leaving: false,
-        running: None,
-        ejected: None,
-        model_version: "".into(),
-        peer_address: "".into(),
-        pool: "".into(),
-        role: Role::Entry,
-        slots: 0,
-    }
+use support::announce;
+
+fn entry() -> Announce {
+    announce("entry-1", Role::Entry)
 }
 
 fn sidecar(name: &str) -> hinge_schema::messages::Member {
@@ -85,7 +73,7 @@
     fn a_configuration_never_steps_back(versions: Vec<u8>) -> bool {
         let runtime = tokio::runtime::Builder::new_current_thread().build().expect("a runtime starts");
         let _entered = runtime.enter();
-        let member = Member::detached(announce());
+        let member = Member::detached(entry());
         versions.into_iter().map(u64::from).all(|version| {
             let before = member.config_version();
             member.learn_config(&full_config(version));
@@ -133,7 +121,7 @@
 
 async_cases! {
     a_restart_with_empty_state_is_not_current_before_it_has_learnt => {
-        let member = Member::detached(announce());
+        let member = Member::detached(entry());
         assert!(!member.is_current());
         member.learn_config(&full_config(3));
         assert!(member.is_current());
@@ -160,7 +148,7 @@
         let key = ClusterKey::derive(b"one");
         let server = Server::bind("127.0.0.1:0", serving(&key), Limits::default()).await.expect("a free port exists");
         let address = server.local_address().to_string();
-        let member = Member::spawn(Client::new(key), announce(), Vec::new());
+        let member = Member::spawn(Client::new(key), entry(), Vec::new());
         let mut dropped = Box::pin(member.learn_from(&address, 3));
         assert!(futures::poll!(&mut dropped).is_pending());
         drop(dropped);
