Reproduce connections that are cut where a gateway takes no more, known red

A gateway that takes no more connections for a moment closes its listener, and the system resets those that wait to be accepted, with the requests that their callers have sent. The test connects, closes the door, and wants the connection taken before; it fails every time.

No code of the product is changed.

--- a/crates/gateway/src/door/tests.rs
+++ b/crates/gateway/src/door/tests.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use hinge_cases::async_cases;
+use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -56,4 +57,18 @@
         accepted.wait_for(|count| *count > before).await.expect("the door is held");
         task.abort();
     }
+    connections_that_wait_when_the_door_closes_are_taken_before_it => {
+        // The callers' requests are on their way already, and closing the listener would cut them without an answer.
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let address = listener.local_addr().expect("it is bound");
+        let (closed, is_closed) = watch::channel(false);
+        let mut door = Door::new(listener, is_closed);
+        let mut waiting = TcpStream::connect(address).await.expect("somebody listens");
+        closed.send_replace(true);
+        let is_taken = tokio::select! {
+            accepted = door.accept() => accepted.is_ok(),
+            _cut = waiting.read_u8() => false,
+        };
+        assert!(is_taken, "a connection that waited was cut");
+    }
 }
