Accept pending connections before a paused gateway closes its listener

Cause: overload control pauses new connections by closing the listener, and the system resets what is in its accept queue, with the requests that callers have already sent.

Change: a pause first accepts what is pending, until the system says that the queue is empty or 256 are accepted, and closes the listener in the same step. They count against the limit of the next windows: otherwise the limit would be none.

Tests: the listed one and 32 callers that wait at a pause failed every time before; that the listed check relies on no luck is shown by two cases of the runtime's `accept`, which is pending though the queue is not empty.

--- a/crates/gateway/src/gateway/tests.rs
+++ b/crates/gateway/src/gateway/tests.rs
@@ -202,6 +202,13 @@
 }
 
 async_cases! {
+    callers_that_wait_at_a_pause_are_answered => {
+        // A pause closes the listener, which resets what is in its accept queue.
+        let gateway = accept_up_to(1_200).await;
+        let callers = connect_many(gateway.address, REQUEST);
+        gateway.shared.is_paused.send_replace(true);
+        assert_eq!(count_answered(&callers).await, MANY);
+    }
     a_caller_on_a_kept_connection_is_answered_during_a_pause => {
         // A pause is for new connections only.
         let gateway = accept_up_to(1_200).await;
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 
+use hinge_link::accept_pending;
 use hinge_telemetry::log::Component;
 use hinge_telemetry::warn;
 use tokio::net::{TcpListener, TcpStream};
@@ -11,6 +12,12 @@
 #[cfg(test)]
 mod tests;
 
+/// Maximum number of pending connections that are accepted before the listener closes.
+///
+/// It is twice the length of the accept queue, since further connections arrive meanwhile. Without a limit, callers that
+/// connect again as soon as they are answered would keep the listener open.
+const MAX_PENDING: u32 = 256;
+
 /// A listener for callers that is closed while connections are refused.
 #[derive(Debug)]
 pub(crate) struct CallerListener {
@@ -18,6 +25,8 @@
     /// Address to bind again; `None` if it could not be read, in which case the listener always stays open.
     address: Option<SocketAddr>,
     is_paused: watch::Receiver<bool>,
+    /// Connections accepted since the pause began.
+    pending: u32,
 }
 
 impl CallerListener {
@@ -26,6 +35,7 @@
             address: listener.local_addr().ok(),
             listener: Some(listener),
             is_paused,
+            pending: 0,
         }
     }
 
@@ -41,7 +51,14 @@
     /// Returns the system's error when a connection can't be accepted, or the address can't be bound again.
     pub(crate) async fn accept(&mut self) -> io::Result<(TcpStream, SocketAddr)> {
         loop {
-            self.apply_pause().await?;
+            let is_paused = *self.is_paused.borrow_and_update();
+            if is_paused && let Some(accepted) = self.close()? {
+                return Ok(accepted);
+            }
+            if !is_paused {
+                self.pending = 0;
+                self.open().await?;
+            }
             let Some(listener) = &self.listener else {
                 // The sender is dropped only when the gateway ends.
                 let _changed_or_gone = self.is_paused.changed().await;
@@ -54,15 +71,32 @@
         }
     }
 
-    /// Binds or closes the listener as overload control said last.
-    async fn apply_pause(&mut self) -> io::Result<()> {
-        let is_paused = *self.is_paused.borrow_and_update();
+    /// Closes the listener, unless a connection is pending, which is returned instead.
+    ///
+    /// Closing resets pending connections, whose callers may already have sent requests.
+    fn close(&mut self) -> io::Result<Option<(TcpStream, SocketAddr)>> {
+        if self.address.is_none() {
+            return Ok(None);
+        }
+        let Some(listener) = &self.listener else {
+            return Ok(None);
+        };
+        if self.pending < MAX_PENDING
+            && let Some(accepted) = accept_pending(listener)?
+        {
+            self.pending += 1;
+            return Ok(Some(accepted));
+        }
+        self.listener = None;
+        Ok(None)
+    }
+
+    /// Binds the address again if the listener is closed.
+    async fn open(&mut self) -> io::Result<()> {
         let Some(address) = self.address else {
             return Ok(());
         };
-        if is_paused {
-            self.listener = None;
-        } else if self.listener.is_none() {
+        if self.listener.is_none() {
             let bound = TcpListener::bind(address).await;
             if let Err(cause) = &bound {
                 warn!(
--- a/crates/gateway/src/listener/tests.rs
+++ b/crates/gateway/src/listener/tests.rs
@@ -2,8 +2,11 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 
+use futures::poll;
 use hinge_cases::async_cases;
+use socket2::SockRef;
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -72,3 +75,26 @@
         assert!(is_taken, "a pending connection was reset");
     }
 }
+
+async_cases! {
+    accept_polled_once_misses_a_connection_of_which_the_driver_has_not_told => {
+        // A first pending poll is no proof of an empty accept queue; only the system's answer is.
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let address = listener.local_addr().expect("it is bound");
+        let _waiting = std::net::TcpStream::connect(address).expect("the port is bound");
+        assert!(poll!(pin!(listener.accept())).is_pending());
+        SockRef::from(&listener).accept().expect("the connection waits in the accept queue");
+        let empty = SockRef::from(&listener).accept().expect_err("nothing waits");
+        assert_eq!(empty.kind(), io::ErrorKind::WouldBlock);
+    }
+    accept_polled_once_misses_a_connection_when_the_task_has_used_its_budget => {
+        // The runtime makes a task yield that has done much in one poll, whatever waits.
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let address = listener.local_addr().expect("it is bound");
+        let _waiting = [(); 2].map(|()| std::net::TcpStream::connect(address).expect("the port is bound"));
+        let _first = listener.accept().await.expect("two connections wait");
+        while poll!(pin!(tokio::task::consume_budget())).is_ready() {}
+        assert!(poll!(pin!(listener.accept())).is_pending());
+        SockRef::from(&listener).accept().expect("the connection waits in the accept queue");
+    }
+}
--- a/crates/routing/src/connection_limit.rs
+++ b/crates/routing/src/connection_limit.rs
@@ -56,6 +56,7 @@
 #[derive(Debug)]
 pub(crate) struct ConnectionLimit {
     limit: u32,
+    /// Connections accepted in this window, and those of earlier windows beyond their limit.
     accepted: u32,
     /// Standing lag of the previous window.
     lag: Duration,
@@ -112,7 +113,9 @@
     ) -> ListenerState {
         let ticks = std::mem::take(&mut self.ticks);
         let closed_ticks = std::mem::take(&mut self.closed_ticks);
-        let accepted = std::mem::take(&mut self.accepted);
+        let accepted = self.accepted;
+        // Connections that were pending when the listener closed are accepted beyond the limit.
+        self.accepted = accepted.saturating_sub(self.limit);
         let was_closed = accepted >= self.limit;
         let previous_lag = std::mem::replace(&mut self.lag, lag);
         // Open connections bring their next requests regardless of the limit of new ones.
--- a/crates/routing/tests/overload.rs
+++ b/crates/routing/tests/overload.rs
@@ -284,6 +284,33 @@
         }
         assert!(!overload.refuses_connections());
     }
+    connections_beyond_the_limit_count_in_the_next_windows => {
+        // Those that are pending when the listener closes are accepted, and would otherwise make the limit none.
+        let mut overload = OverloadControl::new(OverloadRules::default());
+        let mut windows = 0;
+        let mut end_window = |overload: &mut OverloadControl, lag_ms| {
+            windows += 1;
+            overload.record_tick(Duration::from_millis(200 * windows), Duration::from_millis(lag_ms));
+        };
+        for _ in 0..40 {
+            end_window(&mut overload, 100);
+        }
+        // The limit is now at its lower bound of 8.
+        for _ in 0..8 {
+            assert!(!overload.refuses_connections());
+            overload.record_connection();
+        }
+        for _ in 0..16 {
+            assert!(overload.refuses_connections());
+            overload.record_connection();
+        }
+        for _ in 0..2 {
+            end_window(&mut overload, 100);
+            assert!(overload.refuses_connections());
+        }
+        end_window(&mut overload, 100);
+        assert!(!overload.refuses_connections());
+    }
     open_connections_are_closed_one_by_one_while_the_lag_is_high => {
         let mut overload = OverloadControl::new(OverloadRules::default());
         for _ in 0..40 {
