Refuse the requests on connections beyond a gateway's limit

What callers saw: a connection beyond the limit of open ones was closed without a word; the system reset it if its request was there, so that the caller could not know whether it had run nor when to come back.

Change: such a request is read, without being parsed, and gets a prepared 503 that says that it did not run and when to come back. The write side is shut first and the input read to its end, since closing with unread input would reset the connection and lose the answer.

Tests: a caller beyond the limit got no answer on the former code; an answer survives a body of 60,000 bytes.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -43,6 +43,7 @@
 use crate::overload;
 use crate::peer_discovery;
 use crate::peer_updates;
+use crate::prepared_refusal;
 use crate::routing_state::RoutingState;
 use crate::serve::{Origin, serve};
 use crate::suspect_reports;
@@ -430,14 +431,26 @@
 /// Serves a caller's connection if it is within the limit of open connections.
 fn accept_caller(stream: TcpStream, shared: &Arc<Shared>, drain: &Drain) {
     shared.metrics.connections.inc();
-    // A caller whose connection closes before its request was read retries at another gateway at once.
     if shared.connections.try_open() {
         serve_caller(stream, shared, drain.guard());
+    } else if shared.connections.try_refuse() {
+        shared.metrics.connections_refused.inc();
+        refuse_caller(stream, shared, drain.guard());
     } else {
         shared.metrics.connections_closed.inc();
     }
 }
 
+/// Refuses the request on a connection beyond the limit.
+fn refuse_caller(stream: TcpStream, shared: &Arc<Shared>, guard: DrainGuard) {
+    let shared = Arc::clone(shared);
+    tokio::spawn(async move {
+        prepared_refusal::refuse(stream).await;
+        shared.connections.refused();
+        drop(guard);
+    });
+}
+
 fn serve_caller(stream: TcpStream, shared: &Arc<Shared>, guard: DrainGuard) {
     // Without TCP_NODELAY chunks are only delayed a little, so a failure to set it is no reason to refuse the caller.
     let _is_set = stream.set_nodelay(true);
--- a/crates/gateway/src/gateway/tests.rs
+++ b/crates/gateway/src/gateway/tests.rs
@@ -218,6 +218,13 @@
         gateway.shared.is_paused.send_replace(true);
         assert!(is_answered(&caller).await);
     }
+    a_caller_beyond_the_bound_is_answered => {
+        // A connection beyond the bound is dropped with its request unread.
+        let gateway = accept_up_to(1).await;
+        let (_kept, caller) = (connect(gateway.address), connect(gateway.address));
+        send(&caller, REQUEST);
+        assert!(is_answered(&caller).await);
+    }
     callers_that_wait_at_a_stop_are_answered => {
         // The accept task ends before the driver has told it of the connections.
         let gateway = accept_up_to(1_200).await;
@@ -294,6 +301,15 @@
         let headers = read_headers(&caller).await.expect("the request is answered");
         assert!(headers.contains("connection: close"), "{headers}");
     }
+    a_refusal_beyond_the_bound_survives_a_long_body => {
+        // Closing a connection with unread input resets it, and the caller may lose the answer.
+        let gateway = accept_up_to(1).await;
+        let (_kept, caller) = (connect(gateway.address), connect(gateway.address));
+        send(&caller, b"POST / HTTP/1.1\r\nhost: a.example\r\ncontent-length: 60000\r\n\r\n");
+        send(&caller, "a".repeat(60_000).as_bytes());
+        let headers = read_headers(&caller).await.expect("the request is answered");
+        assert!(headers.starts_with("HTTP/1.1 503 ") && headers.contains("retry-after: "), "{headers}");
+    }
     gateways_that_wait_at_a_stop_are_answered => {
         // The listener for handed-off requests is dropped with its accept queue.
         let gateway = accept_gateways().await;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod peer_discovery;
 mod peer_updates;
 mod pool;
+mod prepared_refusal;
 mod refusal;
 mod routing_state;
 mod serve;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -22,6 +22,7 @@
     first_chunk: HistogramFamily<RouteLabels>,
     pub(crate) retries: Counter,
     pub(crate) connections: Counter,
+    pub(crate) connections_refused: Counter,
     pub(crate) connections_closed: Counter,
     pub(crate) resumed: Counter,
     refused: Family<BoundLabels, Counter>,
@@ -56,9 +57,13 @@
                 "Requests that were sent to a further endpoint.",
             ),
             connections: registry.counter("gateway_connections", "Connections of callers."),
+            connections_refused: registry.counter(
+                "gateway_connections_refused",
+                "Connections of callers whose requests were refused because there were too many connections.",
+            ),
             connections_closed: registry.counter(
                 "gateway_connections_closed",
-                "Connections of callers that were closed because there were too many.",
+                "Connections of callers that were closed without a response because there were too many.",
             ),
             resumed: registry.counter("gateway_resumed", "Streams that went on elsewhere."),
             refused: registry.counters(
