Log a lost holder only if it holds a key

Callers saw "unknown, deadline" for a keyed request that no endpoint had begun, beside a busy disk.

Every sidecar that is new to a leader is one that replaces its earlier incarnations, so each costs an entry and a sync, and a change of leader costs one for each sidecar of the fleet. Nearly all of them change nothing. The leader now answers such a command without an entry if its whole log is applied and no key runs under an earlier incarnation, which is when the entry would have had no effect. A claim that is not applied yet counts, so an entry behind it is still logged.

--- a/crates/control/src/driver/tests.rs
+++ b/crates/control/src/driver/tests.rs
@@ -1,5 +1,6 @@
 //! Tests the order in which the thread publishes its lease and sends messages.
 
+mod lost_holders;
 mod stalled;
 
 use std::sync::atomic::{AtomicU64, Ordering};
--- a/crates/control/src/driver/thread.rs
+++ b/crates/control/src/driver/thread.rs
@@ -10,7 +10,7 @@
 use hinge_raft::{
     DropReason, EntryKind, Index, Membership, Message, Node, NodeId, Output, ReadId, Role, Term,
 };
-use hinge_state::{Command, ControlName, State};
+use hinge_state::{Command, ControlName, Reply, State};
 use hinge_telemetry::log::Component;
 use hinge_telemetry::{error, info};
 use tokio::sync::watch;
@@ -155,6 +155,10 @@
             let _receiver_is_gone = reply.send(Err(LogError::FoundingIncomplete));
             return;
         }
+        if self.changes_nothing(command) {
+            let _receiver_is_gone = reply.send(Ok(Reply::Done));
+            return;
+        }
         match self.node.propose(now, command.encode()) {
             Ok(position) => _ = self.pending_proposals.insert(position, reply),
             Err(cause) => {
@@ -163,6 +167,26 @@
         }
     }
 
+    /// Returns whether a command is certain to leave the state as it is, so that the log need not carry it.
+    ///
+    /// Every sidecar that is new to a leader replaces its earlier incarnations, most of which hold no key. An entry for each
+    /// would make the claims behind it wait for one more sync. An entry that isn't applied yet may claim a key for an earlier
+    /// incarnation, so the whole log must be applied.
+    fn changes_nothing(&self, command: &Command) -> bool {
+        let Command::HolderLost {
+            sidecar,
+            incarnation,
+            ..
+        } = command
+        else {
+            return false;
+        };
+        let status = self.node.status();
+        status.role == Role::Leader
+            && status.last_index == self.applied_index
+            && !self.state.has_earlier_holder(sidecar, *incarnation)
+    }
+
     /// Carries out the node's output until there is none left.
     fn process_output(&mut self) -> Result<(), Box<str>> {
         loop {
--- a/crates/outcome/src/keys.rs
+++ b/crates/outcome/src/keys.rs
@@ -2,7 +2,8 @@
 //!
 //! Control applies the table's methods from its log, in the log's order and with the log's time, so that every replica
 //! holds the same state. For the same reason the rules passed in must come from the replicated configuration, and no method
-//! reads a clock or uses randomness. The work of every method except [`KeyTable::mark_holder_lost`] and the sweeps is bounded.
+//! reads a clock or uses randomness. The work of every method except [`KeyTable::has_holder_before`],
+//! [`KeyTable::mark_holder_lost`] and the sweeps is bounded.
 //!
 //! A key is kept until `keep_finished_ms` after its run ended. A running key whose holder is lost has an unknown outcome; it
 //! is not granted again until `keep_unknown_ms` after it was claimed, long after a caller would still retry.
@@ -174,6 +175,13 @@
         }
     }
 
+    /// Returns whether the key is running under an incarnation of a sidecar below `incarnation`.
+    fn runs_under_earlier(&self, sidecar: SidecarId, incarnation: Incarnation) -> bool {
+        self.holder.sidecar == sidecar
+            && self.holder.incarnation < incarnation
+            && self.state == KeyState::Running
+    }
+
     fn answer(&self, holder: GrantId, fingerprint: u64) -> ClaimAnswer {
         if self.fingerprint != fingerprint {
             return ClaimAnswer::Conflict;
@@ -321,6 +329,15 @@
         is_open
     }
 
+    /// Returns whether [`KeyTable::mark_holder_lost`] would affect any key.
+    #[must_use]
+    pub fn has_holder_before(&self, sidecar: SidecarId, incarnation: Incarnation) -> bool {
+        self.teams
+            .values()
+            .flat_map(|keys| keys.records.values())
+            .any(|record| record.runs_under_earlier(sidecar, incarnation))
+    }
+
     /// Records that every incarnation of a sidecar below `incarnation` is gone, and returns the number of affected keys.
     ///
     /// The outcome of their runs is unknown from now on; the keys are not granted again before they expire.
@@ -337,9 +354,7 @@
             .values_mut()
             .flat_map(|keys| keys.records.values_mut())
         {
-            let is_lost =
-                record.holder.sidecar == sidecar && record.holder.incarnation < incarnation;
-            if is_lost && record.state == KeyState::Running {
+            if record.runs_under_earlier(sidecar, incarnation) {
                 let outcome = KeyOutcome::Unknown;
                 record.state = KeyState::Finished {
                     at_ms: now_ms,
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -198,6 +198,13 @@
         Reply::Drains(self.drains())
     }
 
+    /// Returns whether any key is running under an earlier incarnation of a sidecar.
+    #[must_use]
+    pub fn has_earlier_holder(&self, sidecar: &str, incarnation: u64) -> bool {
+        self.keys
+            .has_holder_before(sidecar_id(sidecar), incarnation)
+    }
+
     /// Applies steps that were decided on the current revision; outdated steps are ignored.
     fn apply_steps(&mut self, command: UpgradeCommand) {
         let now_ms = self.advance_clock(command.now_ms);
