Keep a slow claim open while other control instances are asked

A claim's call was dropped after half of the claim timeout (1 s by default), with one control instance as well, where nobody else could be asked. In the same trace the sidecar gave the claim up 1.00 s after it was sent; control's disk confirmed it 0.87 s later, when nobody listened. The request then waits for the release of its key until the caller's deadline, and ends as unknown although it never ran.

The call now stays open while the next instance is asked, until the claim timeout, or as long as before if there are more instances to ask. The first answer counts. A batch may have reached control twice before as well; control grants a repeated claim to the same run and keeps the first end of a run.

The new case fails on the former code: Unreachable.

--- a/crates/sidecar/src/claims.rs
+++ b/crates/sidecar/src/claims.rs
@@ -6,9 +6,11 @@
 use std::time::Duration;
 
 use futures::future::BoxFuture;
+use futures::stream::{FuturesUnordered, StreamExt};
 use hinge_link::Client;
 use hinge_schema::messages::{ClaimBatch, ClaimBatchReply, ClaimKey, ClaimReply, FinishKey};
 use tokio::sync::{Notify, oneshot};
+use tokio::time::timeout;
 use tokio_util::sync::{CancellationToken, DropGuard};
 
 /// Path of claim batches at control.
@@ -116,7 +118,7 @@
             queues.claims.push_back(PendingClaim { claim, reply });
         });
         Box::pin(async move {
-            match tokio::time::timeout(self.timeout, answered).await {
+            match timeout(self.timeout, answered).await {
                 Ok(Ok(reply)) => Ok(reply),
                 Ok(Err(_dropped)) => Err(Unreachable),
                 Err(_elapsed) => Err(Unreachable),
@@ -197,26 +199,40 @@
                 drop(pending);
                 self.outbox.requeue(ended);
                 let wake = self.outbox.wake.notified();
-                let _woken_or_elapsed = tokio::time::timeout(FINISH_RETRY, wake).await;
+                let _woken_or_elapsed = timeout(FINISH_RETRY, wake).await;
             }
         }
     }
 
-    /// Sends a batch to the instance that answered last, then to each of the others.
+    /// Sends a batch to the instance that answered last, and to the others in turn while none answers.
+    ///
+    /// An instance that is slow may still be the first to answer, as when the leader's disk stalls. So its call stays open while
+    /// others are asked; control grants a claim that reaches it twice to the same run.
     async fn send(&mut self, batch: &ClaimBatch) -> Option<ClaimBatchReply> {
-        for _ in 0..self.control.len() {
-            let address = &self.control[self.preferred];
-            let call_timeout = self.timeout / 2;
-            match self
-                .client
-                .call(address, CLAIMS_PATH, batch, call_timeout)
-                .await
-            {
-                Ok(reply) => return Some(reply),
-                Err(_error) => self.preferred = (self.preferred + 1) % self.control.len(),
+        let count = self.control.len();
+        let patience = self.timeout / 2;
+        let asked = u32::try_from(count).unwrap_or(u32::MAX);
+        let limit = self.timeout.max(patience.saturating_mul(asked));
+        let (client, control) = (&self.client, &self.control);
+        let call = |instance: usize| async move {
+            let called = client.call(&control[instance], CLAIMS_PATH, batch, limit);
+            (instance, called.await)
+        };
+        let mut next = (0..count).map(|step| (self.preferred + step) % count);
+        let mut calls = FuturesUnordered::new();
+        let answered = async {
+            calls.extend(next.next().map(call));
+            loop {
+                match timeout(patience, calls.next()).await {
+                    Ok(Some((instance, Ok(reply)))) => return Some((instance, reply)),
+                    Ok(Some((_, Err(_)))) | Err(_) => calls.extend(next.next().map(call)),
+                    Ok(None) => return None,
+                }
             }
-        }
-        None
+        };
+        let (instance, reply) = timeout(limit, answered).await.ok().flatten()?;
+        self.preferred = instance;
+        Some(reply)
     }
 }
 
--- a/crates/sidecar/tests/sidecar/orders.rs
+++ b/crates/sidecar/tests/sidecar/orders.rs
@@ -86,6 +86,31 @@
     }
 }
 
+/// Binds a control instance that answers claims once a condition on its switch holds.
+///
+/// The switch is marked as changed when a claim arrives.
+async fn answering_when(
+    is_due: impl Fn(&bool) -> bool + Copy + Send + Sync + 'static,
+) -> (ServerHandle, watch::Sender<bool>) {
+    let switch = watch::Sender::new(false);
+    let arrived = switch.clone();
+    let router = Router::new().post("/v1/claims", move |request: Request| {
+        let switch = arrived.clone();
+        async move {
+            serve_call(&key(), request, |batch: ClaimBatch| async move {
+                let mut changes = switch.subscribe();
+                switch.send_modify(|_| ());
+                let due = changes.wait_for(is_due).await;
+                drop(due.expect("the switch lives"));
+                Ok(claimed(&batch))
+            })
+            .await
+        }
+    });
+    let server = Server::bind("127.0.0.1:0", router, Limits::default()).await;
+    (server.expect("a free port exists"), switch)
+}
+
 /// Grants keys that begin with `free`, and answers that others are already running.
 fn claimed(batch: &ClaimBatch) -> ClaimBatchReply {
     let answer = |claim: &ClaimKey| ClaimReply {
@@ -246,6 +271,23 @@
         };
         tokio::time::timeout(WAIT, claims.finish(finished)).await.expect("control takes the end");
     }
+    // Guards against a claim that is given up while the instance that was asked first still works on it.
+    a_claim_is_answered_by_a_slow_instance_after_another_was_asked => {
+        let (slow, answer) = answering_when(|answered| *answered).await;
+        let (other, asked) = answering_when(|_| false).await;
+        let addresses = [&slow, &other].map(|server| server.local_address().to_string().into()).to_vec();
+        // The other instance is asked after half of this time.
+        let claims = HttpClaims::spawn(Client::new(key()), addresses, WAIT / 3);
+        let claimed = claims.claim(claim("free"));
+        let mut is_asked = asked.subscribe();
+        let answering = async {
+            let asked = tokio::time::timeout(WAIT, is_asked.changed()).await;
+            asked.expect("the other instance is asked").expect("it lives");
+            answer.send_replace(true);
+        };
+        let (claimed, ()) = tokio::join!(claimed, answering);
+        assert_eq!(claimed.expect("the slow instance answers").verdict, ClaimVerdict::Granted);
+    }
     a_claim_without_control_is_unreachable => {
         let claims = HttpClaims::spawn(Client::new(key()), Vec::new(), Duration::from_millis(50));
         claims.claim(claim("free")).await.expect_err("nobody answers");
