Log slow writes of control's log, and claims without an answer

What a request with a key waited for could be seen only by strace. The leader now warns of a write that took an election timeout or longer, after which other instances give a silent leader up; sidecars log at debug that control did not answer a batch of claims.

--- a/crates/control/src/driver/thread.rs
+++ b/crates/control/src/driver/thread.rs
@@ -12,7 +12,7 @@
 };
 use hinge_state::{Command, ControlName, Reply, State};
 use hinge_telemetry::log::Component;
-use hinge_telemetry::{error, info};
+use hinge_telemetry::{error, info, warn};
 use tokio::sync::watch;
 
 use super::{
@@ -197,9 +197,11 @@
             let (writes, token) = self.apply_output(output)?;
             let is_idle = writes.is_empty();
             if !is_idle {
+                let began_at = self.now();
                 self.log
                     .write(writes)
                     .map_err(|error| error.to_string().into_boxed_str())?;
+                self.warn_of_slow_write(began_at);
                 self.node.persisted(self.now(), token);
             }
             self.take_snapshot();
@@ -211,6 +213,19 @@
         Ok(())
     }
 
+    /// Warns of a write that held up the log for long enough that callers notice.
+    fn warn_of_slow_write(&self, began_at: Duration) {
+        let took = self.now().saturating_sub(began_at);
+        if took >= self.election_timeout {
+            let took_ms = took.as_millis();
+            warn!(
+                Component::Control,
+                "A write of the log was slow.",
+                took_ms = took_ms
+            );
+        }
+    }
+
     fn apply_output(
         &mut self,
         output: Output,
--- a/crates/sidecar/src/claims.rs
+++ b/crates/sidecar/src/claims.rs
@@ -9,6 +9,7 @@
 use futures::stream::{FuturesUnordered, StreamExt};
 use hinge_link::Client;
 use hinge_schema::messages::{ClaimBatch, ClaimBatchReply, ClaimKey, ClaimReply, FinishKey};
+use hinge_telemetry::log::Component;
 use tokio::sync::{Notify, oneshot};
 use tokio::time::timeout;
 use tokio_util::sync::{CancellationToken, DropGuard};
@@ -194,6 +195,12 @@
             if let Some(reply) = self.send(&batch).await {
                 deliver(pending, reply, ended);
             } else {
+                hinge_telemetry::debug!(
+                    Component::Sidecar,
+                    "Control did not answer claims.",
+                    claims = batch.claims.len(),
+                    finished = batch.finished.len()
+                );
                 // Reports of finished runs may be sent twice, as control keeps the first. Claims are not sent again, as their
                 // callers give up.
                 drop(pending);
