Test deadlines that pass before control confirms the claim

Control is frozen between the fleet's start and the request, so the deadline comes first in every run, without load. The caller gets unknown and no endpoint begins the request; afterwards the key runs once through the other entry, whether the claim comes late or is lost with control. If the sidecar is restarted in between, the key runs once at most.

--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -18,4 +18,5 @@
 mod reserve;
 mod running_fleet;
 mod signals;
+mod unconfirmed_claims;
 mod whole_path;
