Use one bound for pending connections that are accepted before a listener closes

The gateway's pause and the stop of any listener did the same thing under two bounds, 256 and 4,096, of which the second named a length that the accept queue does not have (128). The bound now stands in hinge_link, where the queue is emptied.

--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 
-use hinge_link::accept_pending;
+use hinge_link::{MAX_PENDING, accept_pending};
 use hinge_telemetry::log::Component;
 use hinge_telemetry::warn;
 use tokio::net::{TcpListener, TcpStream};
@@ -12,12 +12,6 @@
 #[cfg(test)]
 mod tests;
 
-/// Maximum number of pending connections that are accepted before the listener closes.
-///
-/// It is twice the length of the accept queue, since further connections arrive meanwhile. Without a limit, callers that
-/// connect again as soon as they are answered would keep the listener open.
-const MAX_PENDING: u32 = 256;
-
 /// A listener for callers that is closed while connections are refused.
 #[derive(Debug)]
 pub(crate) struct CallerListener {
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -16,7 +16,7 @@
 pub use auth::ClusterKey;
 pub use client::{CallError, Client, Exchange};
 pub use codec::{CodecError, decode, encode};
-pub use drain::{Drain, DrainGuard, DrainStream, accept_pending, close_listener};
+pub use drain::{Drain, DrainGuard, DrainStream, MAX_PENDING, accept_pending, close_listener};
 pub use frames::{Closed, FrameError, FrameReader, FrameSender, frame_body};
 pub use server::{Limits, Server, ServerHandle, serve_call, serve_exchange};
 pub use traffic::{CounterKind, Direction, MessageClass, Traffic};
