Test for how long a count of pending connections keeps a gateway closed

The count beyond the limit is carried from window to window. At the lower bound of 8 connections a window, the 256 that a pause accepts at most keep the listener closed for 10 windows of 200 ms when the lag has ended, and for 33 while it stays: ceil((8 + 256) / 8). The new case counts both; it passes on the code as it is.

--- a/crates/routing/tests/overload.rs
+++ b/crates/routing/tests/overload.rs
@@ -311,6 +311,32 @@
         end_window(&mut overload, 100);
         assert!(!overload.refuses_connections());
     }
+    a_listener_reopens_within_a_bound_after_the_most_pending_connections => {
+        // A count carried from window to window must not keep a gateway closed long after a flood has ended.
+        let windows_closed = |lag_ms| {
+            let mut overload = OverloadControl::new(OverloadRules::default());
+            let mut windows = 0;
+            let mut end_window = |overload: &mut OverloadControl, lag_ms| {
+                windows += 1;
+                overload.record_tick(Duration::from_millis(200 * windows), Duration::from_millis(lag_ms));
+            };
+            for _ in 0..40 {
+                end_window(&mut overload, 100);
+            }
+            // The limit is at its lower bound of 8, and a gateway accepts up to 256 pending connections beyond it.
+            for _ in 0..8 + 256 {
+                overload.record_connection();
+            }
+            let mut closed = 0;
+            while overload.refuses_connections() {
+                end_window(&mut overload, lag_ms);
+                closed += 1;
+            }
+            closed
+        };
+        assert_eq!(windows_closed(0), 10, "the lag has ended");
+        assert_eq!(windows_closed(100), 33, "the lag stays");
+    }
     open_connections_are_closed_one_by_one_while_the_lag_is_high => {
         let mut overload = OverloadControl::new(OverloadRules::default());
         for _ in 0..40 {
