Refuse the requests of all callers that wait when a full gateway stops

What callers saw: at a planned stop of a gateway at its limit of open connections, connections beyond 128 refusals were closed without an answer.

Cause: the stop accepts all that is pending in one step, in which no refusal in progress can end.

Change: what is accepted at the stop is refused without that limit; at most 256 connections are accepted then, each with a buffer of 2 KB and one descriptor.

Evidence: callers_beyond_the_bound_of_refusals_at_a_stop_are_answered fails on the former code (29 of 32 answered) and passes 150 of 150 times now.

What remains: a pause still closes connections beyond 128 refusals, by the same cause.

--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -36,6 +36,11 @@
         try_count(&self.refusing, MAX_REFUSING)
     }
 
+    /// Counts a connection that is to be refused whether or not there is room for it.
+    pub(crate) fn refuse(&self) {
+        self.refusing.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Records that a counted refusal has ended.
     pub(crate) fn refused(&self) {
         self.refusing.fetch_sub(1, Ordering::Relaxed);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -422,7 +422,7 @@
     }
     if let Some(listener) = listener.into_inner() {
         close_listener(listener, |stream, _remote| {
-            accept_caller(stream, &shared, &drain);
+            accept_last_caller(stream, &shared, &drain);
         });
     }
     drain.finish().await;
@@ -441,6 +441,20 @@
     }
 }
 
+/// Serves a caller's connection that was pending when the gateway stopped, or refuses its request if it is beyond the limit.
+///
+/// All are accepted in one step, in which no refusal ends, so the limit of refusals would close some of them.
+fn accept_last_caller(stream: TcpStream, shared: &Arc<Shared>, drain: &Drain) {
+    shared.metrics.connections.inc();
+    if shared.connections.try_open() {
+        serve_caller(stream, shared, drain.guard());
+    } else {
+        shared.connections.refuse();
+        shared.metrics.connections_refused.inc();
+        refuse_caller(stream, shared, drain.guard());
+    }
+}
+
 /// Refuses the request on a connection beyond the limit.
 fn refuse_caller(stream: TcpStream, shared: &Arc<Shared>, guard: DrainGuard) {
     let shared = Arc::clone(shared);
--- a/crates/gateway/src/gateway/tests.rs
+++ b/crates/gateway/src/gateway/tests.rs
@@ -310,6 +310,18 @@
         let headers = read_headers(&caller).await.expect("the request is answered");
         assert!(headers.starts_with("HTTP/1.1 503 ") && headers.contains("retry-after: "), "{headers}");
     }
+    callers_beyond_the_bound_of_refusals_at_a_stop_are_answered => {
+        // Pending connections are accepted in one step, and none of the refusals ends meanwhile.
+        let gateway = accept_up_to(1).await;
+        let _held: Vec<TcpStream> = (0..100).map(|_| connect(gateway.address)).collect();
+        let accepted = || gateway.shared.metrics.connections.get();
+        while accepted() < 100 {
+            yield_now().await;
+        }
+        let callers = connect_many(gateway.address, REQUEST);
+        gateway.stop.send_replace(true);
+        assert_eq!(count_answered(&callers).await, MANY);
+    }
     gateways_that_wait_at_a_stop_are_answered => {
         // The listener for handed-off requests is dropped with its accept queue.
         let gateway = accept_gateways().await;
