Admission: tell a gateway once that a request is lost

Cause: the queue recorded the loss again with each report that did not list the request. Each record is a message to the gateway on a channel without a bound, which is documented to hold at most three events for each request. Why this works: a request remembers that its loss was recorded. The gateway reads only the first message. Evidence: lost::a_lost_request_is_told_once fails before and holds now; the other tests of the crate hold.

--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -80,6 +80,8 @@
     has_begun: bool,
     /// Whether its slot was released because it is missing from reports.
     is_released: bool,
+    /// Whether its loss was recorded, which the gateway needs to hear once.
+    is_lost: bool,
 }
 
 /// The queue of requests that wait for a slot at one engine.
@@ -229,7 +231,9 @@
                 self.unread_tokens -= std::mem::take(&mut running.unread_tokens);
                 self.running_kv_tokens -= running.kv_tokens;
             }
-            self.lost.push((*id, Duration::ZERO));
+            if !std::mem::replace(&mut running.is_lost, true) {
+                self.lost.push((*id, Duration::ZERO));
+            }
         }
         self.prefill_rate.record(now, 0, false);
     }
@@ -252,7 +256,7 @@
                 self.unread_tokens -= std::mem::take(&mut running.unread_tokens);
                 self.running_kv_tokens -= running.kv_tokens;
             }
-            if now >= since + LOST_AFTER {
+            if now >= since + LOST_AFTER && !std::mem::replace(&mut running.is_lost, true) {
                 self.lost.push((*id, now.saturating_sub(since)));
             }
         }
@@ -520,6 +524,7 @@
             missing_since: None,
             has_begun: false,
             is_released: false,
+            is_lost: false,
         };
         self.running.insert(id, running);
         Decision::Grant {
