Admission: don't call a request lost for a time without reports

Cause: the time after which a request counts as lost ran from the first report after the grant, whether or not reports came in between. Two reports about a second apart were enough, also for an engine too slow to read the request. Its slot was granted to another request, and the gateway gave it up. Why this works: a silence of the engine, and the gap before a late report, don't count for a request that no report has listed. One that was listed did arrive, and one at an engine whose address nobody listens at can't arrive, so their times run on as before; so does that of a request missing from regular reports. Evidence: the_silence_of_an_engine_does_not_count_as_missing fails before with [(1, 985ms)], late_reports_do_not_show_a_loss fails without the server's check and without the queue's. All tests of the crate hold.

--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -5,6 +5,8 @@
 //! a round trip. All other requests wait in the queue, where their order can still change. A request that would start
 //! too late is refused at once, with the time in which the queue is expected to drain.
 
+mod missing;
+
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -18,18 +20,12 @@
 use crate::request::{Decision, Load, QueueLimits, RefusalCause, SlotRequest, SlotRequestId};
 use crate::turn::max_wait_permille;
 use crate::usage::TeamUsage;
+use missing::Absence;
 
 /// Initial estimate of the time from the end of prefill to the first event: the decode steps of one event beside
 /// other prefills, and the way back.
 const INITIAL_FIRST_EVENT_DELAY: Duration = Duration::from_millis(60);
 
-/// Time for which a request must be missing from the engine's reports before its slot is released. Its last bytes and
-/// the notice of its end take milliseconds to arrive.
-const RELEASE_MISSING_AFTER: Duration = Duration::from_millis(300);
-
-/// Time after which a missing request counts as lost; a lost packet is retransmitted within a second.
-const LOST_AFTER: Duration = Duration::from_millis(900);
-
 /// Divisor of the budget that gives how long one late request of each team is kept in the queue before it is refused.
 /// An eighth of the budget leaves the caller most of its time after a refusal.
 ///
@@ -74,14 +70,11 @@
     granted_at: Duration,
     /// Time at which a report first showed its prefill complete.
     prefilled_at: Option<Duration>,
-    /// Time since which the engine's reports don't list it.
-    missing_since: Option<Duration>,
+    absence: Absence,
     /// Whether its answer has begun, which implies that its prefill is complete.
     has_begun: bool,
     /// Whether its slot was released because it is missing from reports.
     is_released: bool,
-    /// Whether its loss was recorded, which the gateway needs to hear once.
-    is_lost: bool,
 }
 
 /// The queue of requests that wait for a slot at one engine.
@@ -94,6 +87,10 @@
     running_kv_tokens: u64,
     /// Whether shared prefixes count as cached, because this queue may be younger than the engine's cache.
     assumes_warm_cache: bool,
+    /// Time of the engine's latest report.
+    reported_at: Duration,
+    /// Time of the report after which the engine has been silent.
+    silent_since: Option<Duration>,
     /// Start time of the engine in its latest report.
     engine_started_unix_ms: Option<u64>,
     /// Whether nothing listens at the engine's address, as far as known.
@@ -125,6 +122,8 @@
             unread_tokens: 0,
             running_kv_tokens: 0,
             assumes_warm_cache: true,
+            reported_at: Duration::ZERO,
+            silent_since: None,
             engine_started_unix_ms: None,
             engine_is_gone: false,
             engine_restarted: false,
@@ -169,6 +168,7 @@
     /// Applies an engine's report, which tells how far each prompt is prefilled.
     pub fn apply_report(&mut self, now: Duration, report: &EngineReport) {
         self.engine_is_gone = false;
+        self.discount_silence(now);
         self.detect_restart(now, report.started_unix_ms);
         if let Some(kv_tokens) = report.kv_total_tokens.filter(|tokens| *tokens > 0) {
             self.limits.kv_tokens = kv_tokens;
@@ -209,67 +209,10 @@
         }
     }
 
-    /// Drops the state of the previous engine process once a report comes from a new one.
-    ///
-    /// An engine can end under load and restart under the same name before anyone notices. The new process runs
-    /// nothing and has an empty cache, while the queue would still count all its slots as taken and every known
-    /// prefix as cached.
-    fn detect_restart(&mut self, now: Duration, started_unix_ms: Option<u64>) {
-        let Some(started_unix_ms) = started_unix_ms else {
-            return;
-        };
-        let previous = self.engine_started_unix_ms.replace(started_unix_ms);
-        if previous.is_none_or(|previous| previous == started_unix_ms) {
-            return;
-        }
-        self.engine_restarted = true;
-        self.cache = PrefixCache::new(self.limits.kv_tokens);
-        for (id, running) in &mut self.running {
-            if !running.is_released {
-                running.is_released = true;
-                self.released_count += 1;
-                self.unread_tokens -= std::mem::take(&mut running.unread_tokens);
-                self.running_kv_tokens -= running.kv_tokens;
-            }
-            if !std::mem::replace(&mut running.is_lost, true) {
-                self.lost.push((*id, Duration::ZERO));
-            }
-        }
-        self.prefill_rate.record(now, 0, false);
-    }
-
-    /// Releases the slots of requests that the engine no longer runs although no gateway reported their end.
-    ///
-    /// An endpoint may lose the answers or drop requests silently. The gateways then wait until the deadline, and
-    /// without a release the slots would stay taken on an idle engine.
-    fn release_missing(&mut self, now: Duration, is_listed: impl Fn(&str) -> bool) {
-        for (id, running) in &mut self.running {
-            if is_listed(&running.request.request_id) {
-                running.missing_since = None;
-                continue;
-            }
-            let since = *running.missing_since.get_or_insert(now);
-            let is_missing = now >= since.max(running.granted_at) + RELEASE_MISSING_AFTER;
-            if is_missing && !running.is_released {
-                running.is_released = true;
-                self.released_count += 1;
-                self.unread_tokens -= std::mem::take(&mut running.unread_tokens);
-                self.running_kv_tokens -= running.kv_tokens;
-            }
-            if now >= since + LOST_AFTER && !std::mem::replace(&mut running.is_lost, true) {
-                self.lost.push((*id, now.saturating_sub(since)));
-            }
-        }
-    }
-
-    /// Takes the requests that are certainly lost, each with the time for which it has been missing.
-    pub fn take_lost(&mut self) -> Vec<(SlotRequestId, Duration)> {
-        std::mem::take(&mut self.lost)
-    }
-
     /// Records that the engine didn't report; until the next report only answers show its progress.
     pub fn engine_silent(&mut self) {
         self.engine_is_gone = false;
+        self.silent_since = Some(self.reported_at);
         for running in self.running.values_mut() {
             running.prefilled_at = None;
         }
@@ -282,6 +225,8 @@
     /// connection.
     pub fn engine_gone(&mut self) {
         self.engine_silent();
+        // No request waits to be read where nothing listens.
+        self.silent_since = None;
         self.engine_is_gone = true;
     }
 
@@ -521,10 +466,9 @@
             kv_tokens,
             granted_at: now,
             prefilled_at: None,
-            missing_since: None,
+            absence: Absence::default(),
             has_begun: false,
             is_released: false,
-            is_lost: false,
         };
         self.running.insert(id, running);
         Decision::Grant {
--- a/crates/admission/src/server.rs
+++ b/crates/admission/src/server.rs
@@ -35,6 +35,10 @@
 /// Maximum interval between load messages, so that a dead connection is detected.
 const MAX_LOAD_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time beyond the report interval after which a report counts as late. The engine, this process or the whole machine
+/// stalled meanwhile, so the report may be as old as the one before.
+const LATE_REPORT_MARGIN: Duration = Duration::from_millis(200);
+
 /// Interval between log lines about the engine's state.
 const ENGINE_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -250,6 +254,7 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut previous_state = "answers";
     let mut logged_at = Instant::now();
+    let mut heard_at = Duration::ZERO;
     loop {
         ticks.tick().await;
         let outcome = engine.fetch_report().await;
@@ -274,8 +279,17 @@
             previous_state = engine_state;
         }
         shared.update(|state, now| match &outcome {
-            ReportOutcome::Report(report) => state.queue.apply_report(now, report),
-            ReportOutcome::Gone => state.queue.engine_gone(),
+            ReportOutcome::Report(report) => {
+                let previous = std::mem::replace(&mut heard_at, now);
+                if now.saturating_sub(previous) > report_interval + LATE_REPORT_MARGIN {
+                    state.queue.engine_silent();
+                }
+                state.queue.apply_report(now, report);
+            }
+            ReportOutcome::Gone => {
+                heard_at = now;
+                state.queue.engine_gone();
+            }
             ReportOutcome::Silent => state.queue.engine_silent(),
         });
     }
--- a/crates/admission/tests/server.rs
+++ b/crates/admission/tests/server.rs
@@ -8,6 +8,8 @@
 use hinge_link::{Client, ClusterKey, Exchange};
 use hinge_schema::routing::{AdmitAsk, AdmitVerdict, AskNumber, FromAdmission, ToAdmission};
 use hinge_telemetry::metrics::Registry;
+use tokio::sync::watch;
+use tokio::time::sleep;
 
 /// Timeout of each step; no step takes this long unless the test fails.
 const STEP_TIMEOUT: Duration = Duration::from_secs(30);
@@ -35,6 +37,17 @@
     }
 }
 
+/// An engine whose every report comes so late that it may have read requests meanwhile; it counts its reports.
+struct LateEngine(watch::Sender<u32>);
+
+impl Engine for LateEngine {
+    async fn fetch_report(&self) -> ReportOutcome {
+        sleep(Duration::from_millis(450)).await;
+        self.0.send_modify(|reports| *reports += 1);
+        ReportOutcome::Report(EngineReport::default())
+    }
+}
+
 fn key() -> ClusterKey {
     ClusterKey::derive(b"a key for tests")
 }
@@ -180,4 +193,15 @@
         assert!(matches!(ended, Ok(None)), "{ended:?}");
         assert!(stopped.await.expect("the task does not panic"));
     }
+    // Guards against a loss that is told from late reports, which may precede the arrival of the request.
+    late_reports_do_not_show_a_loss => {
+        let reports = watch::Sender::new(0);
+        let mut count = reports.subscribe();
+        let server = bind(LateEngine(reports)).await;
+        let mut gateway = Gateway::open(&server).await;
+        gateway.expect_grant(1).await;
+        // The last of these is fetched after the others were applied.
+        count.wait_for(|reports| *reports >= 6).await.expect("the engine is polled");
+        gateway.expect_grant(2).await;
+    }
 }
