Gateway: don't give up a request that was sent late on a reported loss

Seen: by forced order (a grant that takes 450 ms to arrive, then a loss), a stream that an endpoint ran was sent to a second endpoint as well. Cause: an admission counts the time for which a request is missing from its grant on, and a gateway that stalls may send it after that. Nothing compared the two, and the wait after the notice began when the request was sent. Why this works: the gateway knows the latest age of the grant when it sends: the time since the ask less the wait in the queue. If that exceeds 400 ms, a reported loss says nothing and is ignored. A request sent sooner has been at the engine for half a second or more when it is called lost after a regular 900 ms, and is given up as before.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -33,6 +33,10 @@
 /// Delay before load reports are requested again.
 const LOAD_RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// Longest age of a grant at which a request is sent whose loss can be told. An admission reports a request as lost when
+/// it has been missing for nearly a second from its grant on; of a request that was sent late, that says nothing.
+const MAX_GRANT_AGE: Duration = Duration::from_millis(400);
+
 /// How to reach the admissions.
 #[derive(Debug, Clone)]
 pub(crate) struct AdmissionAccess {
@@ -73,18 +77,49 @@
     sent_ask: SentAsk,
     /// Whether the admission has reported that the engine no longer runs the request.
     is_lost: bool,
+    /// Whether the request was sent so late that a reported loss may precede its arrival.
+    was_sent_late: bool,
+    /// Earliest time at which the slot can have been granted.
+    granted_after: Instant,
     lost_grace: Duration,
     pub(crate) waited_ms: u64,
     pub(crate) ahead_tokens: u32,
 }
 
 impl Grant {
+    pub(crate) fn new(
+        sent_ask: SentAsk,
+        verdict: &AdmitVerdict,
+        asked_at: Instant,
+        lost_grace: Duration,
+    ) -> Self {
+        Self {
+            sent_ask,
+            is_lost: false,
+            was_sent_late: false,
+            granted_after: asked_at + Duration::from_millis(verdict.wait_ms),
+            lost_grace,
+            waited_ms: verdict.wait_ms,
+            ahead_tokens: verdict.ahead_tokens,
+        }
+    }
+
+    /// Records that the request is sent now.
+    pub(crate) fn record_sent(&mut self) {
+        self.was_sent_late = self.granted_after.elapsed() > MAX_GRANT_AGE;
+    }
+
     /// Waits until the admission reports that the engine no longer runs the request, then for a grace period.
     ///
     /// The end of the answer may already be in the socket buffer: a gateway short of CPU time reads it late, and an answer that
     /// is ready is passed on. The wait is split in two so that the runtime polls the socket after the first one, however late
     /// that one ends.
+    ///
+    /// Never returns for a request that was sent late: the engine may have begun it after the report.
     pub(crate) async fn wait_until_lost(&mut self) {
+        if self.was_sent_late {
+            std::future::pending::<()>().await;
+        }
         if !self.is_lost {
             self.sent_ask.wait_until_lost().await;
             self.is_lost = true;
@@ -119,6 +154,7 @@
             return AskOutcome::Unasked;
         };
         let wait = Duration::from_millis(ask.budget_ms) + VERDICT_MARGIN;
+        let asked_at = Instant::now();
         let mut sent_ask = stream.ask(ask);
         let Some(verdict) = wait_for_verdict(&mut sent_ask, wait).await else {
             self.bypass(&request_id);
@@ -132,13 +168,8 @@
             let retry_after = Duration::from_millis(verdict.retry_after_ms);
             return AskOutcome::Refused { retry_after };
         }
-        AskOutcome::Granted(Grant {
-            sent_ask,
-            is_lost: false,
-            lost_grace: self.access.lost_grace,
-            waited_ms: verdict.wait_ms,
-            ahead_tokens: verdict.ahead_tokens,
-        })
+        let lost_grace = self.access.lost_grace;
+        AskOutcome::Granted(Grant::new(sent_ask, &verdict, asked_at, lost_grace))
     }
 
     /// Returns the open stream, or opens one; `None` while the admission is bypassed.
--- a/crates/gateway/src/admission_stream.rs
+++ b/crates/gateway/src/admission_stream.rs
@@ -203,3 +203,6 @@
 fn lock(asks: &Mutex<Asks>) -> MutexGuard<'_, Asks> {
     asks.lock().unwrap_or_else(PoisonError::into_inner)
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -119,6 +119,7 @@
         },
     };
     let request = request(dialect, endpoint, outgoing, last_event, fetch_from);
+    in_use.record_sent();
     let sent = tokio::select! {
         biased;
         sent = timeout_at(outgoing.ends_at, exchange(sender, request)) => sent,
--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -19,6 +19,7 @@
 use crate::admission::{AdmissionClient, Grant};
 use crate::attempt::OutgoingRequest;
 use crate::dialect::EndpointLoad;
+use crate::incarnation::{hash, incarnation};
 use crate::notices::Notices;
 use crate::pool::{self, MAX_IDLE, Pool};
 use crate::suspects::{BrokenRequest, Evidence, Suspects};
@@ -362,6 +363,13 @@
         &self.endpoint
     }
 
+    /// Records that the request is sent now.
+    pub(crate) fn record_sent(&mut self) {
+        if let Some(grant) = &mut self.grant {
+            grant.record_sent();
+        }
+    }
+
     /// Records the load that the endpoint reported.
     pub(crate) fn record_load(&self, load: EndpointLoad) {
         let mut state = self.endpoint.lock();
@@ -486,16 +494,3 @@
         }
     }
 }
-
-/// Returns the hash of one incarnation of an endpoint.
-fn incarnation(description: &Description) -> IncarnationHash {
-    let born = description.born_unix_ms.unwrap_or_default();
-    hash(&description.id).wrapping_add(born)
-}
-
-/// Returns the FNV-1a hash of an id, which is the same in every process.
-fn hash(id: &str) -> u64 {
-    id.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-    })
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod handoff;
 mod headers;
 mod history;
+mod incarnation;
 mod job;
 mod listener;
 mod metrics;
