Soak: start processes again that end by themselves, and report such ends

Three checks failed for a gateway that nobody started again.

Cause: the soak stands in for the users' platform, and was wrong about it. DEPLOY.md, "Ends": "A process that exits or is killed is restarted after a short delay, with the settings in effect at that moment". On the other hand the soak did not notice ends that it had not ordered, unless a check failed for want of the process.

Change: control instances, gateways and admissions are watched between faults, while the soak waits for recovery, and at the end of a run. Each end that the soak did not order is a violation, as is a planned stop of a fault that ends by a signal, which was not looked at before. One is excused: by a signal that the soak sent to this very process, with no line of output and no signal handler. The line alone proves nothing, since a thread writes the log; but the Rust runtime installs handlers before `main`, and the system shows those of an ended process until it is reaped. Excused ends are printed and counted; the process is started again.

--- a/crates/fakes/src/process.rs
+++ b/crates/fakes/src/process.rs
@@ -1,6 +1,7 @@
 //! Starts, observes and kills a process of the daemon, by its process id.
 
 use std::net::SocketAddr;
+use std::os::unix::process::ExitStatusExt as _;
 use std::path::{Path, PathBuf};
 use std::process::{ExitStatus, Stdio};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -21,6 +22,11 @@
 /// Time between two checks of a condition.
 pub const POLL: Duration = Duration::from_millis(20);
 
+const SIGHUP: i32 = 1;
+const SIGTERM: i32 = 15;
+const SIGCONT: i32 = 18;
+const SIGSTOP: i32 = 19;
+
 /// Text with which the Rust runtime reports a panic.
 const PANICKED: &str = "panicked at";
 
@@ -42,6 +48,15 @@
     }
 }
 
+/// How a process ended.
+#[derive(Debug, Clone, Copy)]
+pub struct End {
+    /// Status with which it ended.
+    pub status: ExitStatus,
+    /// Whether a signal of this module's ended it before any code of its program ran.
+    pub is_before_main: bool,
+}
+
 /// A running process and what it has logged.
 #[derive(Debug)]
 pub struct Process {
@@ -51,6 +66,8 @@
     child: Child,
     log: watch::Receiver<String>,
     panics: Panics,
+    /// Numbers of the signals sent to it.
+    sent: Mutex<Vec<i32>>,
 }
 
 impl Process {
@@ -114,6 +131,7 @@
             child,
             log,
             panics,
+            sent: Mutex::default(),
         }
     }
 
@@ -248,7 +266,7 @@
     ///
     /// Panics when the process has ended.
     pub fn terminate(&self) {
-        self.signal("TERM");
+        self.signal(SIGTERM);
     }
 
     /// Asks the process to reload its settings, with SIGHUP.
@@ -257,7 +275,7 @@
     ///
     /// Panics when the process has ended.
     pub fn hang_up(&self) {
-        self.signal("HUP");
+        self.signal(SIGHUP);
     }
 
     /// Suspends the process with SIGSTOP, which it can't notice, to test an instance that hangs.
@@ -266,7 +284,7 @@
     ///
     /// Panics when the process has ended.
     pub fn freeze(&self) {
-        self.signal("STOP");
+        self.signal(SIGSTOP);
     }
 
     /// Resumes a suspended process, with SIGCONT.
@@ -275,7 +293,7 @@
     ///
     /// Panics when the process has ended.
     pub fn thaw(&self) {
-        self.signal("CONT");
+        self.signal(SIGCONT);
     }
 
     /// Kills the process at once, with SIGKILL.
@@ -299,11 +317,71 @@
             .expect("its status can be read")
     }
 
-    fn signal(&self, name: &str) {
+    /// Returns how the process ended, the first time that it is called after the end.
+    ///
+    /// No signal can be sent to the process after that.
+    ///
+    /// # Panics
+    ///
+    /// Panics when its state can't be read, or its output stays open.
+    pub async fn end(&mut self) -> Option<End> {
+        let pid = self.child.id()?;
+        // Read before the process is reaped, since its state is gone then.
+        let state = std::fs::read_to_string(format!("/proc/{pid}/status"));
+        let state = state.expect("the state of a process that was not reaped can be read");
+        if field(&state, "State:").is_none_or(|state| !state.starts_with('Z')) {
+            return None;
+        }
+        let status = self.child.try_wait().expect("its status can be read")?;
+        let drained = async { while self.log.changed().await.is_ok() {} };
+        tokio::time::timeout(STEP_TIMEOUT, drained)
+            .await
+            .expect("its output is read to the end");
+        let sent = self.sent.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_by_own_signal = status.signal().is_some_and(|number| sent.contains(&number));
+        // A process that writes its log in the background may lose lines; but the Rust runtime installs handlers before `main`.
+        let has_handlers = field(&state, "SigCgt:")
+            .is_none_or(|caught| !caught.bytes().all(|digit| digit == b'0'));
+        let has_logged = !self.log.borrow().is_empty();
+        Some(End {
+            status,
+            is_before_main: is_by_own_signal && !has_handlers && !has_logged,
+        })
+    }
+
+    /// Waits until the process exits by itself, and returns how it ended.
+    ///
+    /// # Panics
+    ///
+    /// Panics when it does not exit in time.
+    pub async fn wait_for_end(&mut self) -> End {
+        let ended = async {
+            loop {
+                if let Some(end) = self.end().await {
+                    return end;
+                }
+                tokio::time::sleep(POLL).await;
+            }
+        };
+        tokio::time::timeout(STEP_TIMEOUT, ended)
+            .await
+            .expect("the process ends in time")
+    }
+
+    fn signal(&self, number: i32) {
+        let mut sent = self.sent.lock().unwrap_or_else(PoisonError::into_inner);
+        sent.push(number);
+        drop(sent);
         let pid = self.child.id().expect("the process runs").to_string();
         let sent = std::process::Command::new("kill")
-            .args([&format!("-{name}"), &pid])
+            .args([&format!("-{number}"), &pid])
             .status();
         assert!(sent.expect("kill runs").success());
     }
 }
+
+/// Returns the value of a field of a process's state, as the system shows it.
+fn field<'a>(state: &'a str, name: &str) -> Option<&'a str> {
+    let value = state.lines().find_map(|line| line.strip_prefix(name));
+    value.map(str::trim)
+}
