--- a/crates/gateway/src/prepared_refusal.rs
+++ b/crates/gateway/src/prepared_refusal.rs
@@ -9,8 +9,7 @@
 
 use crate::gateway::MAX_HEADER_BYTES;
 
-/// The response to any request. By `retry-after` connections in progress have ended, or the load balancer knows that this
-/// gateway is full.
+/// The response to any request, with the same retry delay as other refusals for overload.
 const RESPONSE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
     content-type: text/plain\r\n\
     content-length: 64\r\n\
