Gateway: log the software versions of a request's endpoints and what it resumes

The request line names neither the version of an endpoint nor the stream that a caller takes up again, so a retry before the first event could not be told from a stream that continued at another version, and a caller's tries could not be connected. The line now has versions, resumes, last_event and continued. No decision changes.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -20,6 +20,8 @@
     pub prompt: Option<Prompt>,
     /// Last event that the caller has received of a stream that it resumes.
     pub last_event: Option<u64>,
+    /// Id of the caller's attempt that brought the first event of the stream that it resumes.
+    pub resumes: Option<Box<str>>,
 }
 
 /// What the gateway tells an endpoint in a request's headers.
--- a/crates/gateway/src/history.rs
+++ b/crates/gateway/src/history.rs
@@ -38,6 +38,8 @@
     /// Whether an endpoint may have run the request; then a refusal must not claim that it did not run.
     pub(crate) may_have_run: bool,
     pub(crate) first_chunk: Option<Duration>,
+    /// Times that the answer was continued at a further endpoint after its first event.
+    pub(crate) continued: u32,
     pub(crate) status: u16,
     pub(crate) cause: &'static str,
 }
@@ -114,6 +116,10 @@
             prompt_tokens = prompt_tokens,
             answer_tokens = answer_tokens,
             endpoints = ids_of(&self.tried),
+            versions = versions_of(&self.tried),
+            resumes = job.resumes.as_deref().unwrap_or("-"),
+            last_event = job.last_event.unwrap_or_default(),
+            continued = self.continued,
             refused_by = ids_of(&self.refused),
             gone = ids_of(&self.gone),
             fetched_from = self
@@ -144,9 +150,15 @@
 
 /// Returns the ids of endpoints, joined by commas.
 fn ids_of(endpoints: &[Arc<Endpoint>]) -> String {
-    let ids: SmallVec<[&str; 2]> = endpoints
-        .iter()
-        .map(|endpoint| &*endpoint.description.id)
-        .collect();
-    ids.join(",")
+    joined(endpoints, |endpoint| &endpoint.description.id)
+}
+
+/// Returns the software versions of endpoints, joined by commas.
+fn versions_of(endpoints: &[Arc<Endpoint>]) -> String {
+    joined(endpoints, |endpoint| &endpoint.description.software_version)
+}
+
+fn joined(endpoints: &[Arc<Endpoint>], text: impl Fn(&Endpoint) -> &str) -> String {
+    let texts: SmallVec<[&str; 2]> = endpoints.iter().map(|endpoint| text(endpoint)).collect();
+    texts.join(",")
 }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -62,6 +62,8 @@
     pub(crate) outgoing: OutgoingRequest,
     pub(crate) prompt: Option<Prompt>,
     pub(crate) last_event: Option<u64>,
+    /// Id of the caller's attempt that brought the first event of the stream that this request resumes.
+    pub(crate) resumes: Option<Box<str>>,
     /// Description of the service's model engines, if its endpoints are engines.
     pub(crate) engine: Option<Engine>,
     pub(crate) rank: u32,
@@ -298,6 +300,7 @@
         match self.run_attempts(history, last_event).await {
             JobOutcome::Answered(answer) if answer.response.status() == StatusCode::OK => {
                 self.gateway.metrics.resumed.inc();
+                history.continued += 1;
                 Some(answer)
             }
             JobOutcome::Answered(_) | JobOutcome::Refused(_) => None,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -128,6 +128,7 @@
         origin,
         _running: running,
         last_event: facts.last_event,
+        resumes: facts.resumes,
         arrived,
     });
     run_job(job).await
