Gateway: take an endpoint that reports another software version for another incarnation

A report under the same id and start with another software version was recorded by control, but the gateways kept the former description, so a stream would have continued at the version that it names. On the platform each start has an id of its own; found by reading while the same cause was looked for elsewhere.

--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -216,6 +216,7 @@
     pub(crate) fn is_same_incarnation(&self, description: &Description) -> bool {
         self.description.address == description.address
             && self.description.born_unix_ms == description.born_unix_ms
+            && self.description.software_version == description.software_version
     }
 
     pub(crate) fn is_draining(&self) -> bool {
