Gateway: continue a stream only at the software version that began it

Cause: the version of an endpoint was decoded and distributed, and used nowhere. A broken stream was resumed at any endpoint of the service, and a stream that a caller took up at another gateway was placed like a new request, for a split route even at another service: nothing remembered where it began.

Now a gateway records service and version of each resumable stream with its first event, by team and request id, and within 100 ms copies that to a gateway of its data centre and to one elsewhere. A resumption looks it up here, then at the gateways of the data centre, then at those of others; queries that come together share a message. Only endpoints of that version may run it, within an answer as well. What is not known is refused without a time to come back. A caller that names no stream is served only while its service has had one version for as long as a stream lasts and control has just confirmed that.

Only positive evidence allows a resumption, so a gateway with an old list or without control can't choose another version.

--- a/crates/control/src/routing_calls.rs
+++ b/crates/control/src/routing_calls.rs
@@ -347,8 +347,15 @@
     let mut soft = core.soft();
     let directory = soft.nearby(&message.data_center);
     directory.note(now, &message.instance, &message.address);
+    let addresses = directory.others(&message.instance, draw);
+    let peers = soft.peers(&message.data_center);
+    if let Some(address) = &message.peer_address {
+        peers.note(now, &message.instance, address);
+    }
     Ok(NearbyGateways {
-        addresses: directory.others(&message.instance, draw),
+        addresses,
+        peers: peers.others(&message.instance, draw),
+        far_peers: soft.far_peers(&message.data_center, &message.instance, draw),
     })
 }
 
--- a/crates/control/src/soft_state.rs
+++ b/crates/control/src/soft_state.rs
@@ -30,6 +30,9 @@
 /// Maximum number of gateways of a data centre that another one there gets.
 const MAX_NEARBY_RETURNED: usize = 32;
 
+/// Maximum number of gateways of other data centres that a gateway gets.
+const MAX_FAR_RETURNED: usize = 32;
+
 /// Time for which a gateway's address is handed out within its data centre.
 ///
 /// A gateway contacts the control instances one after another, so minutes may pass between its calls to this one.
@@ -51,6 +54,8 @@
     pub(crate) watchers: GatewayDirectory,
     /// Gateways that accept requests from each other, by data centre.
     pub(crate) nearby: BTreeMap<Box<str>, GatewayDirectory>,
+    /// Gateways that answer calls of each other, by data centre.
+    peers: BTreeMap<Box<str>, GatewayDirectory>,
     pub(crate) rng: StdRng,
 }
 
@@ -65,16 +70,40 @@
             refused_reports: RefusedReports::default(),
             watchers: GatewayDirectory::new(WATCHER_TTL, MAX_WATCHERS_RETURNED),
             nearby: BTreeMap::new(),
+            peers: BTreeMap::new(),
             rng: StdRng::seed_from_u64(rand::random()),
         }
     }
 
     /// Returns the gateways of a data centre that accept requests from each other.
     pub(crate) fn nearby(&mut self, data_center: &str) -> &mut GatewayDirectory {
-        let directory = || GatewayDirectory::new(NEARBY_TTL, MAX_NEARBY_RETURNED);
-        self.nearby
-            .entry(data_center.into())
-            .or_insert_with(directory)
+        directory_of(&mut self.nearby, data_center)
+    }
+
+    /// Returns the gateways of a data centre that answer calls of each other.
+    pub(crate) fn peers(&mut self, data_center: &str) -> &mut GatewayDirectory {
+        directory_of(&mut self.peers, data_center)
+    }
+
+    /// Returns the addresses of some gateways of other data centres that answer calls.
+    pub(crate) fn far_peers(
+        &self,
+        data_center: &str,
+        instance: &str,
+        draw: usize,
+    ) -> Vec<Box<str>> {
+        let others = self
+            .peers
+            .iter()
+            .filter(|(name, _)| ***name != *data_center);
+        let lists: Vec<Vec<Box<str>>> = others
+            .map(|(_, directory)| directory.others(instance, draw))
+            .collect();
+        // One of each data centre after the other, so that the limit leaves none out.
+        let longest = lists.iter().map(Vec::len).max().unwrap_or_default();
+        let columns =
+            (0..longest).flat_map(|index| lists.iter().filter_map(move |list| list.get(index)));
+        columns.take(MAX_FAR_RETURNED).cloned().collect()
     }
 
     /// Begins a term as the leader, starting from the member list that this instance followed.
@@ -138,3 +167,14 @@
         Some(service::totals_message(&report.pool, &reply))
     }
 }
+
+/// Returns the directory of a data centre, which is empty at first.
+fn directory_of<'a>(
+    directories: &'a mut BTreeMap<Box<str>, GatewayDirectory>,
+    data_center: &str,
+) -> &'a mut GatewayDirectory {
+    let directory = || GatewayDirectory::new(NEARBY_TTL, MAX_NEARBY_RETURNED);
+    directories
+        .entry(data_center.into())
+        .or_insert_with(directory)
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -46,6 +46,7 @@
 use crate::prepared_refusal;
 use crate::routing_state::RoutingState;
 use crate::serve::{Origin, serve};
+use crate::stream_directory::{self, StreamDirectory};
 use crate::suspect_reports;
 use crate::suspects::Suspects;
 use crate::takeover;
@@ -116,6 +117,7 @@
     team_usage: Mutex<HashMap<Box<str>, Arc<TeamUsage>>>,
     cached_prefixes: Mutex<CachedPrefixes>,
     pub(crate) handoffs: Handoffs,
+    pub(crate) streams: Arc<StreamDirectory>,
     began: Instant,
 }
 
@@ -212,6 +214,7 @@
     serving: JoinSet<()>,
     handoff_address: Option<SocketAddr>,
     lag_watch: JoinHandle<()>,
+    _stream_tasks: JoinSet<()>,
     _control_thread: DedicatedThread,
 }
 
@@ -239,8 +242,10 @@
         });
         let suspects = Suspects::register(registry);
         let routing = Arc::new(RoutingState::new(admissions, suspects));
+        let streams = Arc::new(StreamDirectory::register(registry));
         let routes =
             peer_updates::routes(Arc::clone(&readiness), key.clone(), Arc::clone(&routing));
+        let routes = stream_directory::add_routes(routes, &key, &streams);
         let ready_listen = settings.ready_listen.to_string();
         let ready = Server::bind(&ready_listen, routes, Limits::default()).await?;
         let ready_address = ready.local_address();
@@ -260,6 +265,7 @@
             team_usage: Mutex::default(),
             cached_prefixes: Mutex::default(),
             handoffs: Handoffs::new(key.clone()),
+            streams: Arc::clone(&streams),
             began: Instant::now(),
         });
         let (stop, stopped) = watch::channel(false);
@@ -267,7 +273,8 @@
         let callers = accept_callers(listener, Arc::clone(&shared), stopped.clone());
         let mut serving = JoinSet::new();
         serving.spawn(callers);
-        let takeover = bind_takeover(address.ip(), &settings).await?;
+        let stream_tasks = stream_directory::spawn(&streams, client, ready_address);
+        let takeover = bind_takeover(address.ip(), ready_address, &settings).await?;
         let (listener, announcement) = takeover.unzip();
         let mut handoff_address = None;
         if let Some(listener) = listener {
@@ -304,6 +311,7 @@
             serving,
             handoff_address,
             lag_watch,
+            _stream_tasks: stream_tasks,
             _control_thread: control_thread,
         })
     }
@@ -356,6 +364,7 @@
 /// Binds the listener for handed-off requests, and returns it with the message that announces it to other gateways.
 async fn bind_takeover(
     ip: IpAddr,
+    peer_address: SocketAddr,
     settings: &GatewaySettings,
 ) -> io::Result<Option<(TcpListener, MeetGateways)>> {
     let Some(ports) = settings.handoff_ports.clone() else {
@@ -366,6 +375,7 @@
         instance: settings.instance.clone(),
         data_center: settings.data_center.clone(),
         address: listener.local_addr()?.to_string().into(),
+        peer_address: Some(peer_address.to_string().into()),
     };
     Ok(Some((listener, announcement)))
 }
--- a/crates/gateway/src/gateway/tests.rs
+++ b/crates/gateway/src/gateway/tests.rs
@@ -24,6 +24,7 @@
 use crate::handoff::Handoffs;
 use crate::metrics::Metrics;
 use crate::routing_state::RoutingState;
+use crate::stream_directory::StreamDirectory;
 use crate::suspects::Suspects;
 use crate::takeover;
 
@@ -78,6 +79,7 @@
         team_usage: Mutex::default(),
         cached_prefixes: Mutex::default(),
         handoffs: Handoffs::new(key()),
+        streams: Arc::new(StreamDirectory::register(&registry)),
         began: Instant::now(),
     })
 }
--- a/crates/gateway/src/history.rs
+++ b/crates/gateway/src/history.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hinge_routing::Prompt;
+use hinge_routing::{Prompt, StreamOrigin};
 use hinge_telemetry::log::{Component, Level};
 use hinge_telemetry::record;
 use smallvec::SmallVec;
@@ -40,6 +40,8 @@
     pub(crate) first_chunk: Option<Duration>,
     /// Times that the answer was continued at a further endpoint after its first event.
     pub(crate) continued: u32,
+    /// Origin of the stream; once set, only endpoints of its software version may run the request.
+    pub(crate) stream_origin: Option<Arc<StreamOrigin>>,
     pub(crate) status: u16,
     pub(crate) cause: &'static str,
 }
@@ -61,6 +63,12 @@
         self.cause = cause;
     }
 
+    /// Returns whether an endpoint may run the request: one of another software version can't continue its stream.
+    pub(crate) fn allows(&self, endpoint: &Endpoint) -> bool {
+        let origin = self.stream_origin.as_ref();
+        origin.is_none_or(|origin| origin.software_version == endpoint.description.software_version)
+    }
+
     /// Records that all endpoints have asked for a pause, with the shortest time left.
     pub(crate) fn record_backoff(&mut self, shortest: Option<Duration>) {
         if let Some(backoff) = shortest {
@@ -84,6 +92,16 @@
         }
     }
 
+    /// Returns the refusal of a stream of whose software version no endpoint is left.
+    pub(crate) fn version_gone(&mut self) -> Refusal {
+        self.cause = "no endpoint of the stream's version is left";
+        if self.may_have_run {
+            Refusal::Unknown
+        } else {
+            Refusal::CannotResume
+        }
+    }
+
     /// Returns the refusal of a held request.
     pub(crate) fn held_refusal(&mut self, job: &Job) -> Refusal {
         job.gateway.routing.suspects.record_rejection();
@@ -120,6 +138,11 @@
             resumes = job.resumes.as_deref().unwrap_or("-"),
             last_event = job.last_event.unwrap_or_default(),
             continued = self.continued,
+            began_at = self
+                .stream_origin
+                .as_ref()
+                .map_or("-", |origin| &origin.software_version),
+            origin_ms = job.origin_lookup.as_millis(),
             refused_by = ids_of(&self.refused),
             gone = ids_of(&self.gone),
             fetched_from = self
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use hinge_routing::{
-    BacklogLimits, Candidate, Holders, KvSource, Prompt, UsageLag, choose_after_refusal,
-    choose_endpoint, choose_kv_source, token_copy_time,
+    BacklogLimits, Candidate, Holders, KvSource, Prompt, StreamKey, StreamOrigin, UsageLag,
+    choose_after_refusal, choose_endpoint, choose_kv_source, token_copy_time,
 };
 use hinge_schema::routing::{AdmitAsk, Engine, Route};
 use http::StatusCode;
@@ -64,6 +64,8 @@
     pub(crate) last_event: Option<u64>,
     /// Id of the caller's attempt that brought the first event of the stream that this request resumes.
     pub(crate) resumes: Option<Box<str>>,
+    /// Time that finding the origin of that stream took.
+    pub(crate) origin_lookup: Duration,
     /// Description of the service's model engines, if its endpoints are engines.
     pub(crate) engine: Option<Engine>,
     pub(crate) rank: u32,
@@ -93,6 +95,25 @@
         self.outgoing.may_rerun
     }
 
+    /// Returns the origin of a stream that an endpoint begins, if another endpoint may continue it.
+    pub(crate) fn origin_at(&self, endpoint: &Endpoint) -> Option<Arc<StreamOrigin>> {
+        self.is_idempotent().then(|| {
+            Arc::new(StreamOrigin {
+                service: self.service.clone(),
+                software_version: endpoint.description.software_version.clone(),
+            })
+        })
+    }
+
+    /// Records that the caller gets the first event of this attempt.
+    pub(crate) fn record_begun(&self, history: &History) {
+        let named = self.resumes.as_ref().or(self.outgoing.request_id.as_ref());
+        if let (Some(origin), Some(id)) = (&history.stream_origin, named) {
+            let stream = StreamKey::of(self.outgoing.team.as_deref(), id);
+            self.gateway.streams.record_begun(stream, origin);
+        }
+    }
+
     /// Returns whether the request may be sent to one more endpoint, and counts the retry if so.
     pub(crate) fn may_retry(&self, history: &History) -> bool {
         let has_attempts = history.attempts < self.route.max_attempts.max(1);
@@ -118,6 +139,9 @@
             if self.is_held() {
                 return JobOutcome::Refused(history.held_refusal(self));
             }
+            if !self.has_version(history) {
+                return JobOutcome::Refused(history.version_gone());
+            }
             let Some(endpoint) = self.pick_endpoint(history) else {
                 let retry_after = history.retry_after.unwrap_or(NO_ENDPOINT_RETRY);
                 return JobOutcome::Refused(history.refusal(retry_after));
@@ -367,15 +391,26 @@
         (source != endpoint.description.address).then_some(source)
     }
 
+    /// Returns whether an endpoint that takes requests may run this one, given the software version of its stream.
+    fn has_version(&self, history: &History) -> bool {
+        let snapshot = self.gateway.routing.current();
+        let listed = snapshot.of_service(&self.service);
+        let mut listed = listed.iter().filter(|endpoint| !endpoint.is_draining());
+        history.stream_origin.is_none() || listed.any(|endpoint| history.allows(endpoint))
+    }
+
     /// Chooses an endpoint, preferably one that was not tried and is not ejected by its circuit breaker.
     fn pick_endpoint(&self, history: &mut History) -> Option<Arc<Endpoint>> {
         // The current list, not that of the request's arrival: endpoints may have left or started since then.
         let snapshot = self.gateway.routing.current();
         let listed = snapshot.of_service(&self.service);
         let listed = listed.iter().filter(|endpoint| !endpoint.is_draining());
+        let listed: SmallVec<[&Arc<Endpoint>; 16]> =
+            listed.filter(|endpoint| history.allows(endpoint)).collect();
         // A requested pause is binding: no request goes to such an endpoint, even if no other is left.
         let mut shortest_backoff: Option<Duration> = None;
         let listed: SmallVec<[&Arc<Endpoint>; 16]> = listed
+            .into_iter()
             .filter(|endpoint| {
                 let backoff = endpoint.backoff_left();
                 let backoffs = backoff.into_iter().chain(shortest_backoff);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -10,6 +10,7 @@
 
 type OutcomeLabels = [(&'static str, Box<str>); 2];
 type BoundLabels = [(&'static str, &'static str); 1];
+type SourceLabels = [(&'static str, &'static str); 1];
 type RouteLabels = [(&'static str, Box<str>); 1];
 
 /// A gateway's counters, gauges and histograms.
@@ -25,6 +26,7 @@
     pub(crate) connections_refused: Counter,
     pub(crate) connections_closed: Counter,
     pub(crate) resumed: Counter,
+    resumptions: Family<SourceLabels, Counter>,
     refused: Family<BoundLabels, Counter>,
     shut_ms: Counter,
     handed_off: Counter,
@@ -66,6 +68,10 @@
                 "Connections of callers that were closed without a response because there were too many.",
             ),
             resumed: registry.counter("gateway_resumed", "Streams that went on elsewhere."),
+            resumptions: registry.counters(
+                "gateway_resumptions",
+                "Streams that callers took up again, by how their origin was found.",
+            ),
             refused: registry.counters(
                 "gateway_refused",
                 "Requests turned away for want of room, by the limit that they met.",
@@ -113,6 +119,11 @@
         self.requests.get_or_create(&labels).inc();
     }
 
+    /// Counts a stream that a caller takes up again, by how its origin was found.
+    pub(crate) fn record_resumption(&self, source: &'static str) {
+        self.resumptions.get_or_create(&[("origin", source)]).inc();
+    }
+
     /// Adds the counts of overload control.
     pub(crate) fn add_counts(&self, counts: &OverloadCounts) {
         for kind in LimitKind::ALL {
--- a/crates/gateway/src/peer_discovery.rs
+++ b/crates/gateway/src/peer_discovery.rs
@@ -1,4 +1,4 @@
-//! Discovers the other gateways of the data centre, and announces this one to them.
+//! Discovers the other gateways of the data centre and some of others, and announces this one to them.
 //!
 //! Each gateway registers with one control instance after the other, so that any two find each other through some of them without
 //! any state in the replicated log.
@@ -49,6 +49,7 @@
                 let addresses: Vec<SocketAddr> =
                     addresses.filter_map(|text| text.parse().ok()).collect();
                 shared.handoffs.set_peers(&addresses);
+                shared.streams.add_peers(&nearby.peers, &nearby.far_peers);
             }
             Err(cause) => debug!(
                 Component::Gateway,
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -36,6 +36,8 @@
     },
     /// Several endpoints ended while they ran it, so it is no longer sent to any; this attempt did not run.
     Held,
+    /// It takes up a stream that no endpoint can be shown to continue; this attempt did not run.
+    CannotResume,
     /// This gateway is overloaded, and no other one accepts it; it did not run.
     Overloaded(Overloaded),
     /// An endpoint may have run it, and its answer is lost.
@@ -49,9 +51,11 @@
         match self {
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoTeam => StatusCode::UNAUTHORIZED,
-            Self::NoTable | Self::NotRun { .. } | Self::Held | Self::Overloaded(_) => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoTable
+            | Self::NotRun { .. }
+            | Self::Held
+            | Self::CannotResume
+            | Self::Overloaded(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BadBody => StatusCode::BAD_REQUEST,
             Self::Unknown => StatusCode::BAD_GATEWAY,
@@ -69,6 +73,7 @@
             Self::BadBody => "bad_body",
             Self::NotRun { .. } => "not_run",
             Self::Held => "held",
+            Self::CannotResume => "cannot_resume",
             Self::Overloaded(_) => "overloaded",
             Self::Unknown => "unknown",
             Self::TimedOut => "timed_out",
@@ -86,6 +91,9 @@
             Self::Held => {
                 "Endpoints ended while they worked on this request before; it did not run.\n"
             }
+            Self::CannotResume => {
+                "The stream can't continue after its last event; this attempt did not run.\n"
+            }
             Self::Overloaded(_) => "This instance has too much to do; the request did not run.\n",
             Self::Unknown => "The endpoint's answer is lost; the request may have run.\n",
             Self::TimedOut => "The time ran out; the request may have run.\n",
--- /dev/null
+++ b/crates/gateway/src/resumption.rs
@@ -0,0 +1,70 @@
+//! Finds where a stream that a caller takes up again began.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hinge_routing::{StreamKey, StreamOrigin};
+use hinge_schema::routing::{RequestKind, Route};
+
+use crate::dialect::RequestFacts;
+use crate::gateway::Shared;
+use crate::routing_state::RoutingSnapshot;
+use crate::stream_directory::Lookup;
+use crate::takeover::MAX_STATE_AGE;
+
+/// Returns where the stream began, `None` for a request that begins a new one, or why the stream can't continue.
+pub(crate) async fn origin_of(
+    gateway: &Shared,
+    snapshot: &RoutingSnapshot,
+    route: &Route,
+    facts: &RequestFacts,
+    team: Option<&str>,
+) -> Result<Option<Arc<StreamOrigin>>, &'static str> {
+    let takes_up = facts.resumes.is_some() || facts.last_event.is_some();
+    if route.kind != RequestKind::Streaming || !takes_up {
+        return Ok(None);
+    }
+    let (found, source) = match &facts.resumes {
+        Some(id) => match gateway.streams.find(StreamKey::of(team, id)).await {
+            Lookup::Here(origin) => (Ok(origin), "here"),
+            Lookup::Elsewhere(origin) => (Ok(origin), "elsewhere"),
+            Lookup::Ambiguous => (Err("the stream's id was used twice"), "ambiguous"),
+            Lookup::Unknown => (Err("the stream's origin is not known"), "unknown"),
+        },
+        None => match only_origin(gateway, snapshot, route) {
+            Some(origin) => (Ok(origin), "only_version"),
+            None => (Err("the stream is not named"), "unnamed"),
+        },
+    };
+    gateway.metrics.record_resumption(source);
+    let origin = found?;
+    let mut targets = route.targets.iter();
+    if targets.any(|target| target.service == origin.service) {
+        Ok(Some(origin))
+    } else {
+        Err("the route no longer leads to the stream's service")
+    }
+}
+
+/// Returns where every stream of a route that a caller may still take up must have begun, if that is certain.
+///
+/// It is only while the route has one service and that service has had one software version for as long as a stream lasts,
+/// according to a list that control has just confirmed.
+fn only_origin(
+    gateway: &Shared,
+    snapshot: &RoutingSnapshot,
+    route: &Route,
+) -> Option<Arc<StreamOrigin>> {
+    let [target] = route.targets.as_slice() else {
+        return None;
+    };
+    let (version, held_for) = snapshot.only_version(&target.service)?;
+    let longest = Duration::from_millis(route.timeout_ms);
+    let is_certain = held_for >= longest && gateway.routing.age() <= MAX_STATE_AGE;
+    is_certain.then(|| {
+        Arc::new(StreamOrigin {
+            service: target.service.clone(),
+            software_version: version.into(),
+        })
+    })
+}
--- a/crates/gateway/src/routing_state.rs
+++ b/crates/gateway/src/routing_state.rs
@@ -26,6 +26,15 @@
     list: Option<Arc<EndpointList>>,
     by_id: HashMap<Box<str>, Arc<Endpoint>>,
     by_service: HashMap<Box<str>, Vec<Arc<Endpoint>>>,
+    /// Services whose endpoints all have one software version.
+    only_versions: HashMap<Box<str>, OnlyVersion>,
+}
+
+/// The one software version of a service.
+#[derive(Debug, Clone)]
+struct OnlyVersion {
+    software_version: Box<str>,
+    since: Instant,
 }
 
 impl RoutingSnapshot {
@@ -34,6 +43,35 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the software version of a service that has only one, and for how long it has been the only one.
+    pub(crate) fn only_version(&self, service: &str) -> Option<(&str, Duration)> {
+        let only = self.only_versions.get(service)?;
+        Some((&only.software_version, only.since.elapsed()))
+    }
+
+    /// Returns the services of a new list whose endpoints all have one software version.
+    fn next_only_versions(&self, list: &EndpointList) -> HashMap<Box<str>, OnlyVersion> {
+        let mut versions: HashMap<&str, Option<&str>> = HashMap::new();
+        for endpoint in &list.endpoints {
+            let version = &*endpoint.software_version;
+            let only = versions.entry(&endpoint.service).or_insert(Some(version));
+            if *only != Some(version) {
+                *only = None;
+            }
+        }
+        let only = versions.into_iter().filter_map(|(service, version)| {
+            let version = version?;
+            let known = self.only_versions.get(service);
+            let known = known.filter(|known| *known.software_version == *version);
+            let next = known.cloned().unwrap_or_else(|| OnlyVersion {
+                software_version: version.into(),
+                since: Instant::now(),
+            });
+            Some((service.into(), next))
+        });
+        only.collect()
+    }
+
     /// Returns the version of the endpoint list; 0 without a list.
     pub(crate) fn endpoints_version(&self) -> u64 {
         self.list.as_ref().map_or(0, |list| list.version)
@@ -118,6 +156,7 @@
             list: current.list.clone(),
             by_id: current.by_id.clone(),
             by_service: current.by_service.clone(),
+            only_versions: current.only_versions.clone(),
         }));
     }
 
@@ -216,6 +255,7 @@
         );
         self.current.store(Arc::new(RoutingSnapshot {
             lookup: current.lookup.clone(),
+            only_versions: current.next_only_versions(&list),
             list: Some(Arc::new(list)),
             by_id,
             by_service,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hinge_routing::{Overloaded, RouteIndex};
+use hinge_routing::{Overloaded, RouteIndex, StreamOrigin};
 use hinge_schema::routing::{Engine, RequestKind, Route};
 use hinge_telemetry::info;
 use hinge_telemetry::log::Component;
@@ -26,6 +26,7 @@
 use crate::job::{Job, JobOutcome};
 use crate::overload::RunningRequest;
 use crate::refusal::Refusal;
+use crate::resumption::origin_of;
 use crate::routing_state::RoutingSnapshot;
 use crate::streaming;
 use crate::takeover::MAX_STATE_AGE;
@@ -116,6 +117,12 @@
             };
         }
     };
+    let found_at = Instant::now();
+    let found = origin_of(&gateway, &snapshot, &route, &facts, team).await;
+    let origin_lookup = found_at.elapsed();
+    let stream_origin = found.as_ref().ok().and_then(Option::as_ref);
+    let service = stream_origin.map_or(service, |origin| origin.service.clone());
+    let engine = engine_of(&snapshot, &service);
     let job = Arc::new(Job {
         outgoing,
         gateway,
@@ -129,9 +136,13 @@
         _running: running,
         last_event: facts.last_event,
         resumes: facts.resumes,
+        origin_lookup,
         arrived,
     });
-    run_job(job).await
+    match found {
+        Ok(stream_origin) => run_job(job, stream_origin).await,
+        Err(cause) => refuse_resumption(&job, cause),
+    }
 }
 
 /// Admits a caller's request.
@@ -223,18 +234,23 @@
         Some(team)
     };
     let target = RouteIndex::pick_target(route, rand::random()).ok_or(Refusal::NoRoute)?;
-    let service = lookup.service(&target.service);
     Ok(Match {
         service: target.service.clone(),
         team: team.map(|team| team.name.clone()),
         rank: team
             .and_then(|team| team.priority)
             .unwrap_or(route.priority),
-        engine: service.and_then(|service| service.engine.clone()),
+        engine: engine_of(snapshot, &target.service),
         route: route.clone(),
     })
 }
 
+/// Returns the description of a service's model engines, if it has any.
+fn engine_of(snapshot: &RoutingSnapshot, service: &str) -> Option<Engine> {
+    let service = snapshot.lookup.as_ref()?.service(service)?;
+    service.engine.clone()
+}
+
 fn host_of(parts: &Parts) -> Option<&str> {
     let host = match parts.headers.get(HOST) {
         Some(host) => host.to_str().ok()?,
@@ -374,8 +390,18 @@
     refusal.response()
 }
 
-async fn run_job(job: Arc<Job>) -> Response<AnswerBody> {
+/// Refuses a stream that a caller takes up, because no endpoint can be shown to be of the version that began it.
+fn refuse_resumption(job: &Job, cause: &'static str) -> Response<AnswerBody> {
     let mut history = History::default();
+    history.record_cause(cause);
+    refuse(job, &mut history, Refusal::CannotResume)
+}
+
+async fn run_job(job: Arc<Job>, stream_origin: Option<Arc<StreamOrigin>>) -> Response<AnswerBody> {
+    let mut history = History {
+        stream_origin,
+        ..History::default()
+    };
     if job.outlasts_stop() {
         history.record_cause("this instance stops before the answer would end");
         let refusal = Refusal::NotRun {
@@ -451,12 +477,19 @@
     }
 }
 
-fn streamed_answer(job: Arc<Job>, history: History, answer: Box<Answer>) -> Response<AnswerBody> {
+fn streamed_answer(
+    job: Arc<Job>,
+    mut history: History,
+    answer: Box<Answer>,
+) -> Response<AnswerBody> {
     let (chunks, body) = AnswerBody::chunks();
     let mut response = Response::new(body);
     *response.status_mut() = answer.response.status();
     let mut headers = answer.response.headers().clone();
     let is_events = is_event_stream(&headers);
+    if is_events && history.stream_origin.is_none() {
+        history.stream_origin = job.origin_at(answer.in_use.endpoint());
+    }
     strip_hop_by_hop(&mut headers);
     *response.headers_mut() = headers;
     tokio::spawn(streaming::run(job, history, answer, chunks, is_events));
--- /dev/null
+++ b/crates/gateway/src/stream_directory.rs
@@ -0,0 +1,236 @@
+//! Keeps where streams began, and finds it out for streams that began at other gateways.
+//!
+//! A caller takes a stream up because the gateway that served it has ended or is cut off, so what that gateway knows is
+//! copied to another one of its data centre and to one elsewhere. Copies are made after the event has been passed on: a
+//! stream whose origin is lost with its gateway is refused and does not continue at a guessed version.
+
+mod copies;
+mod queries;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use hinge_link::{Client, ClusterKey, serve_call, serve_exchange};
+use hinge_routing::{Known, PeerList, StreamKey, StreamOrigin, StreamOrigins};
+use hinge_schema::routing::{FindStreams, FoundStreams, RecordStreams, StreamsBegun};
+use hinge_telemetry::metrics::Registry;
+use prometheus_client::metrics::counter::Counter;
+use tokio::sync::{Notify, oneshot};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, timeout};
+use viz::{Request, Router};
+
+/// Path of the exchange over which a gateway sends copies of origins.
+const RECORD_PATH: &str = "/v1/streams/record";
+
+/// Path on which a gateway looks up origins for another one.
+const FIND_PATH: &str = "/v1/streams/find";
+
+/// Timeout of a query for the origin of a stream; its caller waits for the next event meanwhile.
+const FIND_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Maximum number of origins waiting to be copied; beyond it, new ones are kept at this gateway only.
+const MAX_UNSENT: usize = 8_192;
+
+/// The origin of a stream that a caller takes up.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Lookup {
+    /// This gateway knew it.
+    Here(Arc<StreamOrigin>),
+    /// Another gateway knew it.
+    Elsewhere(Arc<StreamOrigin>),
+    /// The request id was used for two streams.
+    Ambiguous,
+    /// No gateway that answered knows it.
+    Unknown,
+}
+
+#[derive(Debug)]
+struct Query {
+    stream: StreamKey,
+    answer: oneshot::Sender<Known>,
+}
+
+#[derive(Debug, Default)]
+struct Peers {
+    /// Gateways of this data centre.
+    near: PeerList,
+    /// Gateways of other data centres.
+    far: PeerList,
+}
+
+/// Where streams began, as far as this gateway knows.
+#[derive(Debug)]
+pub(crate) struct StreamDirectory {
+    began: Instant,
+    origins: Mutex<StreamOrigins>,
+    peers: Mutex<Peers>,
+    /// Origins of streams that began here and have not been copied yet.
+    unsent: Mutex<Vec<(StreamKey, Arc<StreamOrigin>)>>,
+    unsent_added: Notify,
+    queries: Mutex<Vec<Query>>,
+    query_added: Notify,
+    copies_sent: Counter,
+    copies_received: Counter,
+    copies_failed: Counter,
+}
+
+impl StreamDirectory {
+    pub(crate) fn register(registry: &Registry) -> Self {
+        Self {
+            copies_sent: registry.counter(
+                "gateway_stream_copies_sent",
+                "Origins of streams that were sent to another gateway; each is sent to two.",
+            ),
+            copies_received: registry.counter(
+                "gateway_stream_copies_received",
+                "Origins of streams that other gateways sent.",
+            ),
+            copies_failed: registry.counter(
+                "gateway_stream_copies_failed",
+                "Origins of streams that no gateway could be sent.",
+            ),
+            began: Instant::now(),
+            origins: Mutex::default(),
+            peers: Mutex::default(),
+            unsent: Mutex::default(),
+            unsent_added: Notify::new(),
+            queries: Mutex::default(),
+            query_added: Notify::new(),
+        }
+    }
+
+    /// Adds gateways of this data centre and of others, as listed by a control instance.
+    pub(crate) fn add_peers(&self, near: &[Box<str>], far: &[Box<str>]) {
+        let now = self.began.elapsed();
+        let parse = |text: &Box<str>| text.parse::<SocketAddr>().ok();
+        let mut peers = lock(&self.peers);
+        peers.near.record_listed(now, near.iter().filter_map(parse));
+        peers.far.record_listed(now, far.iter().filter_map(parse));
+    }
+
+    /// Records a stream of which this gateway passes on the first event.
+    pub(crate) fn record_begun(&self, stream: StreamKey, origin: &Arc<StreamOrigin>) {
+        let now = self.began.elapsed();
+        lock(&self.origins).record(now, stream, origin);
+        let mut unsent = lock(&self.unsent);
+        if unsent.len() < MAX_UNSENT {
+            unsent.push((stream, Arc::clone(origin)));
+            self.unsent_added.notify_one();
+        }
+    }
+
+    /// Records origins that another gateway sent.
+    fn record_copies(&self, copies: &[StreamsBegun]) {
+        let now = self.began.elapsed();
+        let mut origins = lock(&self.origins);
+        for copy in copies {
+            self.copies_received.inc_by(copy.streams.len() as u64);
+            let origin = Arc::new(StreamOrigin {
+                service: copy.service.clone(),
+                software_version: copy.software_version.clone(),
+            });
+            for stream in &copy.streams {
+                origins.record(now, StreamKey::from(*stream), &origin);
+            }
+        }
+    }
+
+    fn known(&self, stream: StreamKey) -> Known {
+        lock(&self.origins).find(self.began.elapsed(), stream)
+    }
+
+    /// Returns where a stream began, and asks the other gateways if this one does not know.
+    pub(crate) async fn find(&self, stream: StreamKey) -> Lookup {
+        match self.known(stream) {
+            Known::At(origin) => return Lookup::Here(origin),
+            Known::Ambiguous => return Lookup::Ambiguous,
+            Known::Nothing => {}
+        }
+        let (answer, answered) = oneshot::channel();
+        lock(&self.queries).push(Query { stream, answer });
+        self.query_added.notify_one();
+        match timeout(FIND_TIMEOUT, answered).await {
+            Ok(Ok(Known::At(origin))) => Lookup::Elsewhere(origin),
+            Ok(Ok(Known::Ambiguous)) => Lookup::Ambiguous,
+            Ok(Ok(Known::Nothing) | Err(_)) | Err(_) => Lookup::Unknown,
+        }
+    }
+
+    /// Returns the known ones of some streams.
+    fn known_of(&self, streams: &[u64]) -> Vec<StreamsBegun> {
+        let known = streams.iter().filter_map(|stream| {
+            let stream = StreamKey::from(*stream);
+            match self.known(stream) {
+                Known::At(origin) => Some((stream, origin)),
+                Known::Ambiguous | Known::Nothing => None,
+            }
+        });
+        by_origin(known)
+    }
+}
+
+/// Groups streams by their origins, each of which is then sent once.
+fn by_origin(
+    streams: impl IntoIterator<Item = (StreamKey, Arc<StreamOrigin>)>,
+) -> Vec<StreamsBegun> {
+    let mut grouped: BTreeMap<Arc<StreamOrigin>, Vec<u64>> = BTreeMap::new();
+    for (stream, origin) in streams {
+        grouped.entry(origin).or_default().push(stream.into());
+    }
+    let grouped = grouped.into_iter();
+    let begun = grouped.map(|(origin, streams)| StreamsBegun {
+        service: origin.service.clone(),
+        software_version: origin.software_version.clone(),
+        streams,
+    });
+    begun.collect()
+}
+
+/// Spawns the tasks that copy origins to other gateways and query them; dropping the set ends them.
+pub(crate) fn spawn(
+    directory: &Arc<StreamDirectory>,
+    client: Client,
+    own: SocketAddr,
+) -> JoinSet<()> {
+    let mut tasks = JoinSet::new();
+    tasks.spawn(copies::run(Arc::clone(directory), client.clone(), own));
+    tasks.spawn(queries::run(Arc::clone(directory), client));
+    tasks
+}
+
+/// Adds the calls of other gateways to a router.
+pub(crate) fn add_routes(
+    router: Router,
+    key: &ClusterKey,
+    directory: &Arc<StreamDirectory>,
+) -> Router {
+    let (record_key, record_directory) = (key.clone(), Arc::clone(directory));
+    let (find_key, find_directory) = (key.clone(), Arc::clone(directory));
+    let record = move |request: Request| {
+        let directory = Arc::clone(&record_directory);
+        let response = serve_exchange(&record_key, request, |mut reader, _sender| async move {
+            while let Ok(Some(message)) = reader.next::<RecordStreams>().await {
+                directory.record_copies(&message.begun);
+            }
+        });
+        async move { response }
+    };
+    let find = move |request: Request| {
+        let (key, directory) = (find_key.clone(), Arc::clone(&find_directory));
+        async move {
+            let answer = async |query: FindStreams| {
+                let begun = directory.known_of(&query.streams);
+                Ok(FoundStreams { begun })
+            };
+            serve_call(&key, request, answer).await
+        }
+    };
+    router.post(RECORD_PATH, record).post(FIND_PATH, find)
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/gateway/src/streaming.rs
+++ b/crates/gateway/src/streaming.rs
@@ -147,6 +147,9 @@
             has_begun = true;
             in_use.record_first_chunk();
             job.record_cached(in_use.endpoint());
+            if history.first_chunk.is_none() {
+                job.record_begun(history);
+            }
         }
         history.record_chunk(job);
         let Some(chunk) = batch.push(chunk) else {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -10,6 +10,8 @@
 //! - [`RetryBudget`] limits retries, and [`CircuitBreaker`] ejects endpoints that fail.
 //! - [`OverloadControl`] decides which requests an overloaded gateway refuses, and [`PeerGateways`] chooses
 //!   another gateway for them.
+//! - [`StreamOrigins`] remembers which software version began a stream, and [`PeerList`] the gateways that keep
+//!   copies of that.
 //! - [`ControlInstances`] selects the control instances that a gateway queries.
 //! - [`CrashTracker`] tells which requests, named by their [`RequestKey`], an endpoint was running when it
 //!   crashed, and [`Suspects`] which of them crash their endpoints.
@@ -26,9 +28,11 @@
 mod load_interval;
 mod overload;
 mod peer_gateways;
+mod peer_list;
 mod request_key;
 mod retry_budget;
 mod route_index;
+mod stream_origins;
 mod suspects;
 mod team_demand;
 mod usage_lag;
@@ -46,8 +50,10 @@
 pub use load_interval::load_interval;
 pub use overload::{OverloadControl, OverloadRules, Overloaded};
 pub use peer_gateways::PeerGateways;
+pub use peer_list::PeerList;
 pub use request_key::{RequestKey, RequestKeyError};
 pub use retry_budget::{RetryBudget, RetryBudgetRules};
 pub use route_index::RouteIndex;
+pub use stream_origins::{Known, StreamKey, StreamOrigin, StreamOrigins};
 pub use suspects::Suspects;
 pub use usage_lag::{Backlog, BacklogLimits, UsageLag};
