--- a/crates/control/src/routing_calls.rs
+++ b/crates/control/src/routing_calls.rs
@@ -346,7 +346,9 @@
     let draw = rand::random::<u32>() as usize;
     let mut soft = core.soft();
     let directory = soft.nearby(&message.data_center);
-    directory.note(now, &message.instance, &message.address);
+    if let Some(address) = &message.address {
+        directory.note(now, &message.instance, address);
+    }
     let addresses = directory.others(&message.instance, draw);
     let peers = soft.peers(&message.data_center);
     if let Some(address) = &message.peer_address {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -274,14 +274,19 @@
         let mut serving = JoinSet::new();
         serving.spawn(callers);
         let stream_tasks = stream_directory::spawn(&streams, client, ready_address);
-        let takeover = bind_takeover(address.ip(), ready_address, &settings).await?;
-        let (listener, announcement) = takeover.unzip();
+        let listener = bind_takeover(address.ip(), &settings).await?;
         let mut handoff_address = None;
         if let Some(listener) = listener {
             handoff_address = Some(listener.local_addr()?);
             let takeover = takeover::run(listener, key.clone(), Arc::clone(&shared), stopped);
             serving.spawn(takeover);
         }
+        let announcement = MeetGateways {
+            instance: settings.instance.clone(),
+            data_center: settings.data_center.clone(),
+            address: handoff_address.map(|address| address.to_string().into()),
+            peer_address: Some(ready_address.to_string().into()),
+        };
         let lag_watch = overload::watch_lag(Arc::clone(&shared), Arc::clone(&readiness));
         let lag_watch = tokio::spawn(lag_watch);
         let following = follow_control(
@@ -361,23 +366,12 @@
     }
 }
 
-/// Binds the listener for handed-off requests, and returns it with the message that announces it to other gateways.
-async fn bind_takeover(
-    ip: IpAddr,
-    peer_address: SocketAddr,
-    settings: &GatewaySettings,
-) -> io::Result<Option<(TcpListener, MeetGateways)>> {
-    let Some(ports) = settings.handoff_ports.clone() else {
-        return Ok(None);
-    };
-    let listener = takeover::bind(ip, ports).await?;
-    let announcement = MeetGateways {
-        instance: settings.instance.clone(),
-        data_center: settings.data_center.clone(),
-        address: listener.local_addr()?.to_string().into(),
-        peer_address: Some(peer_address.to_string().into()),
-    };
-    Ok(Some((listener, announcement)))
+/// Binds the listener for requests that other gateways hand off, if this one takes any.
+async fn bind_takeover(ip: IpAddr, settings: &GatewaySettings) -> io::Result<Option<TcpListener>> {
+    match settings.handoff_ports.clone() {
+        Some(ports) => takeover::bind(ip, ports).await.map(Some),
+        None => Ok(None),
+    }
 }
 
 /// Follows control and reports to it until the future is dropped.
@@ -388,7 +382,7 @@
     seeds: watch::Receiver<Vec<Box<str>>>,
     shared: Arc<Shared>,
     readiness: Arc<Readiness>,
-    announcement: Option<MeetGateways>,
+    announcement: MeetGateways,
 ) {
     let routing = Arc::clone(&shared.routing);
     let table_age_ms = shared.metrics.table_age_ms.clone();
@@ -402,11 +396,7 @@
         readiness,
         table_age_ms,
     );
-    let discovery = async {
-        if let Some(announcement) = announcement {
-            peer_discovery::run(client, announcement, shared).await;
-        }
-    };
+    let discovery = peer_discovery::run(client, announcement, shared);
     futures::join!(reporting, following, discovery);
 }
 
--- a/crates/gateway/src/stream_directory.rs
+++ b/crates/gateway/src/stream_directory.rs
@@ -105,10 +105,9 @@
     /// Adds gateways of this data centre and of others, as listed by a control instance.
     pub(crate) fn add_peers(&self, near: &[Box<str>], far: &[Box<str>]) {
         let now = self.began.elapsed();
-        let parse = |text: &Box<str>| text.parse::<SocketAddr>().ok();
         let mut peers = lock(&self.peers);
-        peers.near.record_listed(now, near.iter().filter_map(parse));
-        peers.far.record_listed(now, far.iter().filter_map(parse));
+        peers.near.record_listed(now, parsed(near));
+        peers.far.record_listed(now, parsed(far));
     }
 
     /// Records a stream of which this gateway passes on the first event.
@@ -172,6 +171,10 @@
     }
 }
 
+fn parsed(addresses: &[Box<str>]) -> impl Iterator<Item = SocketAddr> {
+    addresses.iter().filter_map(|text| text.parse().ok())
+}
+
 /// Groups streams by their origins, each of which is then sent once.
 fn by_origin(
     streams: impl IntoIterator<Item = (StreamKey, Arc<StreamOrigin>)>,
