--- a/crates/routing/src/peer_list.rs
+++ b/crates/routing/src/peer_list.rs
@@ -2,13 +2,17 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::ops::Bound;
 use std::time::Duration;
 
+use sha2::{Digest, Sha256};
+
 /// Time for which a gateway stays known after it was last listed.
 const LISTED_TTL: Duration = Duration::from_mins(3);
 
 #[derive(Debug, Clone, Copy)]
 struct Peer {
+    address: SocketAddr,
     listed_at: Duration,
     suspended_until: Duration,
 }
@@ -16,7 +20,19 @@
 /// The addresses of other gateways.
 #[derive(Debug, Default)]
 pub struct PeerList {
-    peers: BTreeMap<SocketAddr, Peer>,
+    /// By position on the ring.
+    peers: BTreeMap<u64, Peer>,
+}
+
+/// Returns the position of an address on a ring.
+///
+/// Positions are hashed because the addresses of a data centre are consecutive: by address, all gateways of one data
+/// centre would choose the same gateway of another.
+fn position(address: SocketAddr) -> u64 {
+    let digest = Sha256::digest(address.to_string());
+    let mut position = [0; size_of::<u64>()];
+    position.copy_from_slice(&digest[..size_of::<u64>()]);
+    u64::from_be_bytes(position)
 }
 
 impl PeerList {
@@ -27,7 +43,8 @@
         addresses: impl IntoIterator<Item = SocketAddr>,
     ) {
         for address in addresses {
-            let peer = self.peers.entry(address).or_insert(Peer {
+            let peer = self.peers.entry(position(address)).or_insert(Peer {
+                address,
                 listed_at: now,
                 suspended_until: Duration::ZERO,
             });
@@ -39,25 +56,26 @@
 
     /// Returns all known addresses.
     pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> {
-        self.peers.keys().copied()
+        self.peers.values().map(|peer| peer.address)
     }
 
-    /// Returns the first usable address after a given one, in the order of addresses and around its end.
+    /// Returns the first usable address after a given one on the ring.
     ///
-    /// Gateways that know the same addresses choose different ones, each as often as the others.
+    /// Gateways that know each other choose different ones.
     #[must_use]
     pub fn successor(&self, now: Duration, of: SocketAddr) -> Option<SocketAddr> {
-        let after = self.peers.iter().filter(|(address, _)| **address > of);
-        let before = self.peers.iter().filter(|(address, _)| **address < of);
+        let own = position(of);
+        let after = self.peers.range((Bound::Excluded(own), Bound::Unbounded));
+        let before = self.peers.range(..own);
         let mut usable = after
             .chain(before)
             .filter(|(_, peer)| peer.suspended_until <= now);
-        usable.next().map(|(address, _)| *address)
+        usable.next().map(|(_, peer)| peer.address)
     }
 
     /// Excludes an address from [`PeerList::successor`] for some time.
     pub fn suspend(&mut self, now: Duration, address: SocketAddr, duration: Duration) {
-        if let Some(peer) = self.peers.get_mut(&address) {
+        if let Some(peer) = self.peers.get_mut(&position(address)) {
             peer.suspended_until = now + duration;
         }
     }
