Gateway: log the prompt parts of a request, and how long a broken answer had been coming

An endpoint ended under a request: its line names the parts but the last, and the time since the first whole event. The request's own line names the parts too.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -10,6 +10,7 @@
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use smallvec::SmallVec;
 use tokio::time::{Instant, timeout_at};
 
 use crate::admission::Grant;
@@ -28,6 +29,8 @@
     pub(crate) body: Bytes,
     pub(crate) request_id: Option<Box<str>>,
     pub(crate) team: Option<Box<str>>,
+    /// Ids of the prompt's parts, without the last one, which is specific to the request.
+    pub(crate) shared_parts: SmallVec<[u64; 3]>,
     /// Prompt tokens that an endpoint has to prefill.
     pub(crate) prompt_tokens: u32,
     /// Whether the request may run again when its answer is lost.
@@ -48,6 +51,12 @@
     }
 }
 
+/// Returns the ids of prompt parts in hexadecimal, joined by commas.
+pub(crate) fn part_ids(parts: &[u64]) -> String {
+    let ids: SmallVec<[String; 3]> = parts.iter().map(|id| format!("{id:x}")).collect();
+    ids.join(",")
+}
+
 /// An endpoint's answer, of which the head has arrived.
 #[derive(Debug)]
 pub(crate) struct Answer {
--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -298,6 +298,7 @@
             tokens,
             grant,
             has_outcome: false,
+            first_chunk_at: None,
         }
     }
 
@@ -357,6 +358,7 @@
     grant: Option<Grant>,
     /// Whether the circuit breaker has been told how the request fared.
     has_outcome: bool,
+    first_chunk_at: Option<Instant>,
 }
 
 impl EndpointUse {
@@ -451,11 +453,14 @@
         self.endpoint.record_broken(BrokenRequest {
             key: outgoing.key(),
             request_id: outgoing.request_id.clone().unwrap_or_default(),
+            shared_parts: outgoing.shared_parts.clone(),
+            written_for: self.first_chunk_at.map(|at| at.elapsed()),
         });
     }
 
     /// Records that the first chunk of the answer, or the whole of a buffered answer, has arrived.
-    pub(crate) fn record_first_chunk(&self) {
+    pub(crate) fn record_first_chunk(&mut self) {
+        self.first_chunk_at = Some(Instant::now());
         if let Some(grant) = &self.grant {
             grant.report_prefilled();
         }
--- a/crates/gateway/src/history.rs
+++ b/crates/gateway/src/history.rs
@@ -9,6 +9,7 @@
 use hinge_telemetry::record;
 use smallvec::SmallVec;
 
+use crate::attempt::part_ids;
 use crate::endpoint::Endpoint;
 use crate::job::Job;
 use crate::refusal::Refusal;
@@ -133,6 +134,7 @@
             team = job.outgoing.team.as_deref().unwrap_or("-"),
             prompt_tokens = prompt_tokens,
             answer_tokens = answer_tokens,
+            parts = part_ids(&job.outgoing.shared_parts),
             endpoints = ids_of(&self.tried),
             versions = versions_of(&self.tried),
             resumes = job.resumes.as_deref().unwrap_or("-"),
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -13,6 +13,7 @@
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use smallvec::SmallVec;
 use tokio::time::{Instant, timeout_at};
 
 use crate::answer::{ReadError, is_read_whole, read_whole};
@@ -294,6 +295,9 @@
         body,
         request_id: facts.request_id.clone(),
         team,
+        shared_parts: facts.prompt.as_ref().map_or_else(SmallVec::new, |prompt| {
+            prompt.shared_parts().iter().map(|part| part.id).collect()
+        }),
         prompt_tokens: facts
             .prompt
             .as_ref()
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -5,6 +5,7 @@
 use std::fmt;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use hinge_routing::{RequestKey, Suspects as SuspectTable};
 use hinge_schema::routing::SuspectList;
@@ -13,8 +14,9 @@
 use hinge_telemetry::warn;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
+use smallvec::SmallVec;
 
-use crate::attempt::OutgoingRequest;
+use crate::attempt::{OutgoingRequest, part_ids};
 use crate::endpoint::Endpoint;
 use crate::suspect_reports::PendingReports;
 
@@ -24,6 +26,10 @@
     pub(crate) key: RequestKey,
     /// Id of the caller's attempt.
     pub(crate) request_id: Box<str>,
+    /// Ids of the prompt's parts, without the last one.
+    pub(crate) shared_parts: SmallVec<[u64; 3]>,
+    /// Time from the first chunk of the answer until it broke off; `None` if none had arrived.
+    pub(crate) written_for: Option<Duration>,
 }
 
 /// The evidence that an endpoint has ended; a broken connection alone proves nothing.
@@ -103,6 +109,10 @@
             "An endpoint ended under a request.",
             id = request.request_id,
             request = request.key,
+            parts = part_ids(&request.shared_parts),
+            written_ms = request
+                .written_for
+                .map_or_else(|| "-".to_owned(), |time| time.as_millis().to_string()),
             ends = ends,
             endpoint = endpoint.description.id,
             born_unix_ms = endpoint.description.born_unix_ms.unwrap_or_default(),
