Suspect prompt parts, and refuse the requests with one that crashes endpoints

Each crash takes some 20 other answers along.

Cause: only whole requests were suspects, and no two of these are alike, so each counted one crash.

Change: the parts of a prompt but the last are suspects beside the request, at their service. A crash counts against a part only where the answer had not gone on for half a second, and where no answer on the part that began within half a second before was completed or went on for so long. Such an answer clears a part afterwards as well, also at gateways that did not see the crash. Held after three crashes. Since that stops all requests with the part, control lets single ones through: until five endpoints are spent, 2 and 8 s apart, and up to three further crashes, 2, 8 and 32 s apart, for a part on which the asking gateway has seen answers go on.

A held part that has become sound is tried and let through again in a test of its own.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -42,4 +42,4 @@
     EndpointReportOutcome, MEET_GATEWAYS_PATH, RoutingCalls, RoutingUnavailable, WATCH_ROUTES_PATH,
 };
 pub use settings::{ControlSettings, Peer, RelaySettings};
-pub use suspect_calls::NOTE_SUSPECTS_PATH;
+pub use suspect_calls::{NOTE_SUSPECTS_PATH, TRY_PARTS_PATH};
--- a/crates/control/src/suspect_calls.rs
+++ b/crates/control/src/suspect_calls.rs
@@ -1,18 +1,20 @@
-//! Records under which requests endpoints ended, and which of those requests have completed since.
+//! Records under which requests and prompt parts endpoints ended, which of those have completed since, and which held parts are tried.
 
 use std::sync::Arc;
 
 use hinge_link::ClusterKey;
-use hinge_routing::{IncarnationHash, RequestKey, Suspects};
+use hinge_routing::{IncarnationHash, RequestKey, RequestKeyError, Suspects};
 use hinge_schema::messages::{AskSuspects, SuspectRecords, SuspectsReply};
-use hinge_schema::routing::{ReportSuspects, ReportSuspectsReply, SuspectEnd};
-use hinge_state::{Command, Reply, SuspectsCommand};
+use hinge_schema::routing::{
+    AskTrial, AskTrialReply, ReportSuspects, ReportSuspectsReply, SuspectEnd,
+};
+use hinge_state::{Command, Reply, SuspectsCommand, TrialCommand};
 use hinge_telemetry::log::Component;
 use hinge_telemetry::{info, warn};
 use http::StatusCode;
 use viz::Router;
 
-use crate::core::Core;
+use crate::core::{Core, unix_now_ms};
 use crate::driver::LogError;
 use crate::operators::Operator;
 use crate::peer_calls::{add_leader_call, answer_or_forward};
@@ -20,15 +22,69 @@
 
 const SUSPECTS: &str = "/suspects";
 
+const PART_TRIALS: &str = "/part-trials";
+
 /// Maximum number of requests in one reply to an operator.
 const MAX_LISTED: usize = 1_000;
 
 /// Path on which a gateway reports endpoints that ended under requests.
 pub const NOTE_SUSPECTS_PATH: &str = "/v1/suspects";
 
+/// Path on which a gateway asks for a trial of held prompt parts.
+pub const TRY_PARTS_PATH: &str = "/v1/part-trials";
+
 /// Adds the routes for peers.
 pub(crate) fn add(router: Router, key: &ClusterKey, core: &StateCell<Core>) -> Router {
-    add_leader_call(router, SUSPECTS, key, core, note, note_as_leader)
+    let router = add_leader_call(router, SUSPECTS, key, core, note, note_as_leader);
+    add_leader_call(
+        router,
+        PART_TRIALS,
+        key,
+        core,
+        try_parts,
+        try_parts_as_leader,
+    )
+}
+
+async fn try_parts(core: Arc<Core>, message: AskTrial) -> Result<AskTrialReply, StatusCode> {
+    answer_or_forward(core, PART_TRIALS, message, try_parts_as_leader).await
+}
+
+async fn try_parts_as_leader(
+    core: Arc<Core>,
+    message: AskTrial,
+) -> Result<AskTrialReply, StatusCode> {
+    let parts: Result<Vec<(RequestKey, bool)>, _> = message
+        .parts
+        .iter()
+        .map(|trial| Ok((trial.part.parse()?, trial.was_sound)))
+        .collect();
+    let parts = parts.map_err(|_not_a_key: RequestKeyError| StatusCode::BAD_REQUEST)?;
+    let now_ms = unix_now_ms();
+    let can_grant = {
+        let view = core.driver.view.load();
+        view.routing.suspects().can_grant_trial(&parts, now_ms)
+    };
+    if !can_grant {
+        return Ok(AskTrialReply { granted: false });
+    }
+    let command = SuspectsCommand {
+        trial: Some(TrialCommand { parts, now_ms }),
+        ..SuspectsCommand::default()
+    };
+    let proposed = core.propose(Command::Suspects(command)).await;
+    let reply = proposed.map_err(|_refused| StatusCode::SERVICE_UNAVAILABLE)?;
+    let granted = matches!(reply, Reply::Trial(true));
+    if granted {
+        let parts: Vec<&str> = message.parts.iter().map(|trial| &*trial.part).collect();
+        info!(
+            Component::Control,
+            "A request with held prompt parts is tried.",
+            parts = parts.join(","),
+            asked_by = message.instance
+        );
+    }
+    Ok(AskTrialReply { granted })
 }
 
 async fn note(core: Arc<Core>, message: ReportSuspects) -> Result<ReportSuspectsReply, StatusCode> {
@@ -70,8 +126,8 @@
     let release = ask.release.and_then(|key| key.parse().ok());
     if let Some(request) = release {
         let command = SuspectsCommand {
-            ends: Vec::new(),
             completed: vec![request],
+            ..SuspectsCommand::default()
         };
         core.propose(Command::Suspects(command)).await?;
         info!(
@@ -99,6 +155,7 @@
     let mut command = SuspectsCommand {
         ends: ends.map_err(bad)?,
         completed: completed.map_err(bad)?,
+        trial: None,
     };
     command
         .ends
@@ -109,8 +166,6 @@
     Ok(command)
 }
 
-fn read_end(
-    end: &SuspectEnd,
-) -> Result<(RequestKey, IncarnationHash), hinge_routing::RequestKeyError> {
+fn read_end(end: &SuspectEnd) -> Result<(RequestKey, IncarnationHash), RequestKeyError> {
     Ok((end.request.parse()?, end.endpoint))
 }
--- a/crates/ctl/src/commands/suspects.rs
+++ b/crates/ctl/src/commands/suspects.rs
@@ -1,4 +1,4 @@
-//! Lists the requests during which endpoints crashed, and releases one.
+//! Lists the requests and prompt parts during which endpoints crashed, and releases one.
 
 use std::fmt::{self, Display};
 
@@ -47,7 +47,7 @@
             );
         }
         let rows: Vec<_> = suspects.iter().map(row).collect();
-        f.write_str(&format::table(&["REQUEST", "ENDS", "STATE"], &rows))
+        f.write_str(&format::table(&["REQUEST", "ENDS", "STATE", "PART"], &rows))
     }
 }
 
@@ -57,5 +57,6 @@
         suspect.request.to_string(),
         suspect.ends.to_string(),
         state.to_owned(),
+        suspect.part.as_deref().unwrap_or("-").to_owned(),
     ]
 }
--- a/crates/ctl/tests/control.rs
+++ b/crates/ctl/tests/control.rs
@@ -278,6 +278,7 @@
             fixture.shared.apply(Command::Suspects(SuspectsCommand {
                 ends: vec![(request, endpoint)],
                 completed: Vec::new(),
+                ..SuspectsCommand::default()
             }));
         }
         let (_, out, _) = fixture.run(&["suspects"]).await;
--- a/crates/ctl/tests/fake_control/mod.rs
+++ b/crates/ctl/tests/fake_control/mod.rs
@@ -280,6 +280,7 @@
                 instance.shared.apply(Command::Suspects(SuspectsCommand {
                     ends: Vec::new(),
                     completed: vec![request],
+                    ..SuspectsCommand::default()
                 }));
             }
             let state = instance.shared.state.lock().expect("lock is not poisoned");
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -39,6 +39,8 @@
     pub(crate) ends_at: Instant,
     /// Computed on first use.
     pub(crate) key: OnceLock<RequestKey>,
+    /// Ids of held prompt parts that are tried with this request, which then runs at one endpoint only.
+    pub(crate) trial_parts: SmallVec<[u64; 3]>,
 }
 
 impl OutgoingRequest {
@@ -49,6 +51,14 @@
         let key = || RequestKey::of(self.method.as_str(), path, team, &self.body);
         *self.key.get_or_init(key)
     }
+
+    /// Returns the keys of the prompt's parts at a service, without the last part, which no other request has.
+    pub(crate) fn part_keys(&self, service: &str) -> SmallVec<[RequestKey; 3]> {
+        let parts = self.shared_parts.iter();
+        parts
+            .map(|part| RequestKey::of_part(service, *part))
+            .collect()
+    }
 }
 
 /// Returns the ids of prompt parts in hexadecimal, joined by commas.
--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use hinge_routing::{
-    Backlog, Candidate, CircuitBreaker, CircuitBreakerRules, CrashTracker, IncarnationHash,
-    RequestKey,
+    AnswerProgress, Backlog, Candidate, CircuitBreaker, CircuitBreakerRules, CrashTracker,
+    IncarnationHash, RequestKey,
 };
 use hinge_schema::routing::{Endpoint as Description, EngineLoad};
 use hinge_telemetry::log::Component;
@@ -298,7 +298,7 @@
             tokens,
             grant,
             has_outcome: false,
-            first_chunk_at: None,
+            progress: None,
         }
     }
 
@@ -358,7 +358,8 @@
     grant: Option<Grant>,
     /// Whether the circuit breaker has been told how the request fared.
     has_outcome: bool,
-    first_chunk_at: Option<Instant>,
+    /// How far the answer has come, once its first whole chunk has arrived.
+    progress: Option<AnswerProgress>,
 }
 
 impl EndpointUse {
@@ -450,22 +451,41 @@
 
     /// Records that the answer to the request broke off or can no longer arrive.
     pub(crate) fn record_broken(&self, outgoing: &OutgoingRequest) {
-        self.endpoint.record_broken(BrokenRequest {
+        self.endpoint.record_broken(self.broken_request(outgoing));
+    }
+
+    fn broken_request(&self, outgoing: &OutgoingRequest) -> BrokenRequest {
+        BrokenRequest {
             key: outgoing.key(),
             request_id: outgoing.request_id.clone().unwrap_or_default(),
             shared_parts: outgoing.shared_parts.clone(),
-            written_for: self.first_chunk_at.map(|at| at.elapsed()),
-        });
+            progress: self.progress,
+        }
     }
 
     /// Records that the first chunk of the answer, or the whole of a buffered answer, has arrived.
     pub(crate) fn record_first_chunk(&mut self) {
-        self.first_chunk_at = Some(Instant::now());
+        self.progress = Some(AnswerProgress::begin(self.endpoint.suspects.now()));
         if let Some(grant) = &self.grant {
             grant.report_prefilled();
         }
     }
 
+    /// Records a further chunk, and returns when the answer began if it has now gone on for long enough to speak for its prompt.
+    pub(crate) fn record_chunk(&mut self) -> Option<Duration> {
+        let now = self.endpoint.suspects.now();
+        let progress = self.progress.as_mut()?;
+        let had_survived = progress.has_survived();
+        progress.record_chunk(now);
+        let survives = progress.has_survived() && !had_survived;
+        survives.then(|| progress.began_at())
+    }
+
+    /// Returns when the first whole chunk of the answer arrived.
+    pub(crate) fn began_at(&self) -> Option<Duration> {
+        self.progress.map(|progress| progress.began_at())
+    }
+
     /// Records a failure of the endpoint or of the network path to it.
     pub(crate) fn record_failure(&mut self, cause: &str) {
         self.has_outcome = true;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -41,6 +41,7 @@
 use crate::listener::CallerListener;
 use crate::metrics::Metrics;
 use crate::overload;
+use crate::part_trials;
 use crate::peer_discovery;
 use crate::peer_updates;
 use crate::prepared_refusal;
@@ -387,6 +388,7 @@
     let routing = Arc::clone(&shared.routing);
     let table_age_ms = shared.metrics.table_age_ms.clone();
     let reporting = suspect_reports::run(client.clone(), instance.clone(), Arc::clone(&routing));
+    let trials = part_trials::run(client.clone(), instance.clone(), Arc::clone(&routing));
     let following = follow::run(
         client.clone(),
         instance,
@@ -397,7 +399,7 @@
         table_age_ms,
     );
     let discovery = peer_discovery::run(client, announcement, shared);
-    futures::join!(reporting, following, discovery);
+    futures::join!(reporting, trials, following, discovery);
 }
 
 async fn accept_callers(
--- a/crates/gateway/src/history.rs
+++ b/crates/gateway/src/history.rs
@@ -103,14 +103,17 @@
         }
     }
 
-    /// Returns the refusal of a held request.
-    pub(crate) fn held_refusal(&mut self, job: &Job) -> Refusal {
-        job.gateway.routing.suspects.record_rejection();
-        self.cause = "the request is held";
+    /// Returns the refusal of a held request, or of one with held prompt parts.
+    pub(crate) fn held_refusal(&mut self, has_held_parts: bool) -> Refusal {
+        self.cause = if has_held_parts {
+            "parts of the prompt are held"
+        } else {
+            "the request is held"
+        };
         if self.may_have_run {
             Refusal::Unknown
         } else {
-            Refusal::Held
+            Refusal::held(has_held_parts)
         }
     }
 
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -22,6 +22,7 @@
 use crate::refusal::Refusal;
 use crate::routing_state::RoutingSnapshot;
 use crate::serve::Origin;
+use crate::suspects::Verdict;
 use crate::team_usage::TeamUsage;
 
 /// Minimum time left to the deadline for an attempt to be worth making.
@@ -136,8 +137,8 @@
             if Instant::now() + MIN_ATTEMPT_TIME >= self.outgoing.ends_at {
                 return JobOutcome::Refused(history.refusal(NO_ENDPOINT_RETRY));
             }
-            if self.is_held() {
-                return JobOutcome::Refused(history.held_refusal(self));
+            if let Some(refusal) = self.held_refusal(history) {
+                return JobOutcome::Refused(refusal);
             }
             if !self.has_version(history) {
                 return JobOutcome::Refused(history.version_gone());
@@ -173,8 +174,8 @@
             };
             // While the request was queued it may have become held, and the endpoint may have asked for a pause or begun to
             // drain.
-            if self.is_held() {
-                return JobOutcome::Refused(history.held_refusal(self));
+            if let Some(refusal) = self.held_refusal(history) {
+                return JobOutcome::Refused(refusal);
             }
             if endpoint.backoff_left().is_some() || endpoint.is_draining() {
                 continue;
@@ -226,9 +227,31 @@
         }
     }
 
-    /// Returns whether the request is held because several endpoints ended while they ran it.
-    fn is_held(&self) -> bool {
-        self.gateway.routing.suspects.is_held(&self.outgoing)
+    /// Returns the refusal of the request if several endpoints have ended while they ran it or requests with a part of its prompt.
+    fn held_refusal(&self, history: &mut History) -> Option<Refusal> {
+        let suspects = &self.gateway.routing.suspects;
+        let held = match suspects.verdict(&self.outgoing, &self.service) {
+            Verdict::Allowed => return None,
+            Verdict::Held(parts) => parts,
+            Verdict::MayTry(parts) => parts.iter().filter_map(|(part, _)| part.part()).collect(),
+        };
+        let trial = &self.outgoing.trial_parts;
+        let is_tried = !held.is_empty() && held.iter().all(|part| trial.contains(part));
+        if is_tried && history.attempts == 0 {
+            return None;
+        }
+        let has_held_parts = !held.is_empty();
+        suspects.record_rejection(has_held_parts);
+        Some(history.held_refusal(has_held_parts))
+    }
+
+    /// Records that an answer that began at this time has gone on, so that no part of the prompt crashes endpoints.
+    pub(crate) fn record_survival(&self, began_at: Duration) {
+        let parts = &self.outgoing.shared_parts;
+        if !parts.is_empty() {
+            let suspects = &self.gateway.routing.suspects;
+            suspects.record_survival(&self.service, parts, began_at);
+        }
     }
 
     /// Records that an endpoint has completed the request, so the ends of earlier endpoints had another cause.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod metrics;
 mod notices;
 mod overload;
+mod part_trials;
 mod peer_discovery;
 mod peer_updates;
 mod pool;
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -13,7 +13,7 @@
 /// window to the next, and some requests in progress have ended by then.
 const NO_ROOM_RETRY: Duration = Duration::from_millis(200);
 
-/// Retry delay for a held request, which stays held until an operator releases it.
+/// Retry delay for a held request or prompt part, which mostly stays held until an operator releases it.
 const HELD_RETRY: Duration = Duration::from_hours(1);
 
 /// The reason why a gateway answers a request by itself.
@@ -36,6 +36,8 @@
     },
     /// Several endpoints ended while they ran it, so it is no longer sent to any; this attempt did not run.
     Held,
+    /// Several endpoints ended while they worked on requests with a part of its prompt; this attempt did not run.
+    HeldPart,
     /// It takes up a stream that no endpoint can be shown to continue; this attempt did not run.
     CannotResume,
     /// This gateway is overloaded, and no other one accepts it; it did not run.
@@ -47,6 +49,15 @@
 }
 
 impl Refusal {
+    /// Returns the refusal of a request that is held by itself, or because of parts of its prompt.
+    pub(crate) fn held(has_held_parts: bool) -> Self {
+        if has_held_parts {
+            Self::HeldPart
+        } else {
+            Self::Held
+        }
+    }
+
     pub(crate) fn status(self) -> StatusCode {
         match self {
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -54,6 +65,7 @@
             Self::NoTable
             | Self::NotRun { .. }
             | Self::Held
+            | Self::HeldPart
             | Self::CannotResume
             | Self::Overloaded(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
@@ -73,6 +85,7 @@
             Self::BadBody => "bad_body",
             Self::NotRun { .. } => "not_run",
             Self::Held => "held",
+            Self::HeldPart => "held_part",
             Self::CannotResume => "cannot_resume",
             Self::Overloaded(_) => "overloaded",
             Self::Unknown => "unknown",
@@ -91,6 +104,9 @@
             Self::Held => {
                 "Endpoints ended while they worked on this request before; it did not run.\n"
             }
+            Self::HeldPart => {
+                "Endpoints ended while they worked on requests with a part of this prompt; it did not run.\n"
+            }
             Self::CannotResume => {
                 "The stream can't continue after its last event; this attempt did not run.\n"
             }
@@ -111,7 +127,7 @@
             Self::NotRun { retry_after } => Some(retry_after),
             Self::NoTable => Some(Duration::from_secs(1)),
             Self::Overloaded(_) => Some(NO_ROOM_RETRY),
-            Self::Held => Some(HELD_RETRY),
+            Self::Held | Self::HeldPart => Some(HELD_RETRY),
             _ => None,
         };
         if let Some(time) = retry_after {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -17,7 +17,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::answer::{ReadError, is_read_whole, read_whole};
-use crate::attempt::{Answer, OutgoingRequest};
+use crate::attempt::{Answer, OutgoingRequest, part_ids};
 use crate::body::AnswerBody;
 use crate::dialect::RequestFacts;
 use crate::gateway::Shared;
@@ -30,6 +30,7 @@
 use crate::resumption::origin_of;
 use crate::routing_state::RoutingSnapshot;
 use crate::streaming;
+use crate::suspects::Verdict;
 use crate::takeover::MAX_STATE_AGE;
 
 /// Interval between two chunks of a stream to another gateway, a fraction of the pause that callers tolerate.
@@ -93,12 +94,22 @@
         Ok(body) => body,
         Err(refusal) => return refuse_early(&gateway, &snapshot, &facts, &parts, refusal),
     };
-    let outgoing = OutgoingRequest {
+    let mut outgoing = OutgoingRequest {
         may_rerun: may_run_again(&route),
         ..outgoing(parts, body, &facts, team, ends_at)
     };
-    if gateway.routing.suspects.is_held(&outgoing) {
-        return refuse_held(&gateway, &route, &outgoing);
+    let suspects = &gateway.routing.suspects;
+    match suspects.verdict(&outgoing, &service) {
+        Verdict::Allowed => {}
+        Verdict::Held(parts) => return refuse_held(&gateway, &route, &outgoing, &parts),
+        Verdict::MayTry(parts) => {
+            let held = parts.iter().filter_map(|(part, _)| part.part());
+            let held: SmallVec<[u64; 3]> = held.collect();
+            if !suspects.trials.ask(parts).await {
+                return refuse_held(&gateway, &route, &outgoing, &held);
+            }
+            outgoing.trial_parts = held;
+        }
     }
     let team = outgoing.team.as_deref();
     let admitted = match origin {
@@ -305,6 +316,7 @@
         may_rerun: false,
         ends_at,
         key: OnceLock::new(),
+        trial_parts: SmallVec::new(),
     }
 }
 
@@ -371,15 +383,19 @@
     response
 }
 
-/// Refuses a held request before it uses any of its team's share.
+/// Refuses a held request, or one with held prompt parts, before it uses any of its team's share.
 fn refuse_held(
     gateway: &Shared,
     route: &Route,
     outgoing: &OutgoingRequest,
+    held_parts: &[u64],
 ) -> Response<AnswerBody> {
-    let refusal = Refusal::Held;
+    let refusal = Refusal::held(!held_parts.is_empty());
     gateway.metrics.record_refused(refusal.name());
-    gateway.routing.suspects.record_rejection();
+    gateway
+        .routing
+        .suspects
+        .record_rejection(!held_parts.is_empty());
     info!(
         Component::Gateway,
         "Request.",
@@ -389,6 +405,7 @@
         route = route.name,
         team = outgoing.team.as_deref().unwrap_or("-"),
         request = outgoing.key(),
+        held_parts = part_ids(held_parts),
         list = gateway.routing.suspects.version()
     );
     refusal.response()
@@ -463,6 +480,9 @@
     if head.status.is_success() {
         in_use.record_first_chunk();
         job.record_completed(history);
+        if let Some(began_at) = in_use.began_at() {
+            job.record_survival(began_at);
+        }
     }
     drop(in_use);
     connection.keep();
--- a/crates/gateway/src/streaming.rs
+++ b/crates/gateway/src/streaming.rs
@@ -150,6 +150,8 @@
             if history.first_chunk.is_none() {
                 job.record_begun(history);
             }
+        } else if let Some(began_at) = in_use.record_chunk() {
+            job.record_survival(began_at);
         }
         history.record_chunk(job);
         let Some(chunk) = batch.push(chunk) else {
@@ -164,11 +166,14 @@
         in_use.record_broken(&job.outgoing);
         return StreamEnd::Broken;
     }
-    drop(in_use);
-    connection.keep();
     if proves_completion {
         job.record_completed(history);
+        if let Some(began_at) = in_use.began_at() {
+            job.record_survival(began_at);
+        }
     }
+    drop(in_use);
+    connection.keep();
     StreamEnd::Complete
 }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -14,7 +14,8 @@
 //!   copies of that.
 //! - [`ControlInstances`] selects the control instances that a gateway queries.
 //! - [`CrashTracker`] tells which requests, named by their [`RequestKey`], an endpoint was running when it
-//!   crashed, and [`Suspects`] which of them crash their endpoints.
+//!   crashed, and [`Suspects`] which of them, or which of their prompt parts, crash their endpoints;
+//!   [`PartEvidence`] tells which crashes count against a part.
 
 mod cached_prefixes;
 mod check;
@@ -27,6 +28,7 @@
 mod kv_source;
 mod load_interval;
 mod overload;
+mod part_evidence;
 mod peer_gateways;
 mod peer_list;
 mod request_key;
@@ -49,6 +51,7 @@
 pub use kv_source::{KvSource, choose_kv_source, token_copy_time};
 pub use load_interval::load_interval;
 pub use overload::{OverloadControl, OverloadRules, Overloaded};
+pub use part_evidence::{AnswerProgress, PartEvidence};
 pub use peer_gateways::PeerGateways;
 pub use peer_list::PeerList;
 pub use request_key::{RequestKey, RequestKeyError};
--- a/crates/routing/src/request_key.rs
+++ b/crates/routing/src/request_key.rs
@@ -10,15 +10,35 @@
 /// Length of a key in bytes.
 const KEY_BYTES: usize = 16;
 
-/// Hash of a request's method, path, team and body.
+/// Upper 32 bits of the keys of prompt parts, "part" in ASCII; a request's key has them with a probability of 2^-32.
+const PART_TAG: u32 = 0x7061_7274;
+
+/// What a request can be recognised by in another attempt or in another request.
 ///
-/// It is the same for each attempt of its caller, at every gateway.
+/// The key of a whole request is a hash of its method, path, team and body; it is the same for each attempt of its
+/// caller, at every gateway. The key of a prompt part ends with the part's id.
 #[derive(
     Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
 )]
 pub struct RequestKey(u128);
 
 impl RequestKey {
+    /// Returns the key of a prompt part at a service; what one service can't process may be sound at another one.
+    #[must_use]
+    pub fn of_part(service: &str, part: u64) -> Self {
+        let tag = u128::from(PART_TAG) << 96;
+        Self(tag | u128::from(fnv1a(service)) << 64 | u128::from(part))
+    }
+
+    /// Returns the id of the prompt part, or `None` for a whole request.
+    #[must_use]
+    pub fn part(&self) -> Option<u64> {
+        let is_part = self.0 >> 96 == u128::from(PART_TAG);
+        is_part
+            .then(|| u64::try_from(self.0 & u128::from(u64::MAX)).ok())
+            .flatten()
+    }
+
     /// Returns the key of a request; `path` includes the query, and `team` is `None` on a route without keys.
     #[must_use]
     pub fn of(method: &str, path: &str, team: Option<&str>, body: &[u8]) -> Self {
@@ -37,6 +57,13 @@
     }
 }
 
+/// Returns the 32-bit FNV-1a hash of a text.
+fn fnv1a(text: &str) -> u32 {
+    text.bytes().fold(0x811c_9dc5, |hash, byte| {
+        (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193)
+    })
+}
+
 impl fmt::Display for RequestKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:032x}", self.0)
--- a/crates/routing/src/suspects.rs
+++ b/crates/routing/src/suspects.rs
@@ -1,9 +1,13 @@
-//! Tells a request that crashes endpoints from those that only ran beside it.
+//! Tells a request or a prompt part that crashes endpoints from those that only ran beside it.
 //!
 //! A poison request crashes each endpoint that runs it, and its caller sends it again and again, to any
 //! gateway. Each crash breaks off tens of other requests, and streams among them that are resumed elsewhere
 //! may meet the next crash. A request is held (not sent to endpoints any more) after three crashes without a
 //! completion between them: a request that only ran beside the poison one completes sooner or later.
+//!
+//! A poison prompt part does the same in requests that have nothing else in common. What counts against a part is
+//! decided by [`crate::PartEvidence`]. Since a held part stops all requests that have it, one of them at a time is
+//! tried until the part has as many crashes as the fleet may spend on it.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
@@ -19,6 +23,19 @@
 /// Crashes without a completion between them after which a request is held.
 const CRASHES_TO_HOLD: usize = 3;
 
+/// Crashes that are spent on a prompt part: once it has as many, it is not tried any more.
+const MAX_PART_CRASHES: usize = 5;
+
+/// Further crashes that are spent on a part which was sound before, whatever its other crashes: parts of sound
+/// requests have as many as a poison part if all endpoints crash at once.
+const MAX_TRIAL_CRASHES: u32 = 3;
+
+/// Minimum time between two trials of a prompt part, in milliseconds; it grows fourfold with each crash of a trial.
+const TRIAL_INTERVAL_MS: u64 = 2_000;
+
+/// Minimum time between two trials of any parts, in milliseconds, so that they hardly meet at one endpoint.
+const ANY_TRIAL_INTERVAL_MS: u64 = 250;
+
 /// Crashes kept for one request, the most recent ones.
 const MAX_CRASHES: usize = 16;
 
@@ -39,6 +56,19 @@
     /// Version of the list in which this changed last.
     #[serde(rename = "changed")]
     changed_version: u64,
+    /// When the last trial was granted, in Unix milliseconds; missing in records of versions before trials.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    trial_unix_ms: Option<u64>,
+    /// Crashes since the first trial; missing in records of versions before trials.
+    #[serde(default)]
+    trial_crashes: u32,
+}
+
+impl Suspect {
+    /// Returns the minimum time between its last trial and the next one.
+    fn trial_interval_ms(&self) -> u64 {
+        TRIAL_INTERVAL_MS << (2 * self.trial_crashes.min(MAX_TRIAL_CRASHES))
+    }
 }
 
 /// The requests that were running when endpoints crashed.
@@ -50,6 +80,9 @@
     known: BTreeMap<RequestKey, Suspect>,
     held: BTreeSet<RequestKey>,
     version: u64,
+    /// When the last trial of any part was granted, in Unix milliseconds; missing in lists of versions before trials.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    trial_unix_ms: Option<u64>,
 }
 
 impl Suspects {
@@ -84,6 +117,7 @@
         let mut records: Vec<SuspectRecord> = suspected
             .map(|(request, suspect)| SuspectRecord {
                 request: request.to_string().into(),
+                part: request.part().map(|part| format!("{part:x}").into()),
                 ends: u32::try_from(suspect.crashes.len()).unwrap_or(u32::MAX),
                 held: self.is_held(request),
             })
@@ -106,6 +140,49 @@
         self.held.contains(request)
     }
 
+    /// Returns whether a held prompt part may still be tried; `was_sound` tells whether answers on it survived before.
+    #[must_use]
+    pub fn may_be_tried(&self, part: &RequestKey, was_sound: bool) -> bool {
+        let known = self.known.get(part);
+        let known = known.filter(|_| part.part().is_some() && self.is_held(part));
+        known.is_some_and(|suspect| {
+            suspect.crashes.len() < MAX_PART_CRASHES
+                || was_sound && suspect.trial_crashes < MAX_TRIAL_CRASHES
+        })
+    }
+
+    /// Returns whether a trial of a request with held prompt parts can be granted, given whether each part was sound before.
+    ///
+    /// It can't while an earlier trial of one of them may still be running.
+    #[must_use]
+    pub fn can_grant_trial(&self, parts: &[(RequestKey, bool)], now_unix_ms: u64) -> bool {
+        let is_past = |granted: Option<u64>, interval_ms| {
+            granted.is_none_or(|granted| granted.abs_diff(now_unix_ms) >= interval_ms)
+        };
+        let is_due = |part| {
+            let suspect = self.known.get(part);
+            suspect
+                .is_some_and(|suspect| is_past(suspect.trial_unix_ms, suspect.trial_interval_ms()))
+        };
+        !parts.is_empty()
+            && is_past(self.trial_unix_ms, ANY_TRIAL_INTERVAL_MS)
+            && parts
+                .iter()
+                .all(|(part, was_sound)| self.may_be_tried(part, *was_sound) && is_due(part))
+    }
+
+    /// Grants a trial if [`Self::can_grant_trial`] allows it, and returns whether it did.
+    pub fn grant_trial(&mut self, parts: &[(RequestKey, bool)], now_unix_ms: u64) -> bool {
+        if !self.can_grant_trial(parts, now_unix_ms) {
+            return false;
+        }
+        for (part, _) in parts {
+            self.known.entry(*part).or_default().trial_unix_ms = Some(now_unix_ms);
+        }
+        self.trial_unix_ms = Some(now_unix_ms);
+        true
+    }
+
     /// Returns the held requests.
     #[must_use]
     pub fn held(&self) -> &BTreeSet<RequestKey> {
@@ -149,6 +226,7 @@
         let suspects = changed.map(|(request, suspect)| SuspectEntry {
             request: request.to_string().into(),
             ends: suspect.crashes.to_vec(),
+            trial_ends: (suspect.trial_crashes > 0).then_some(suspect.trial_crashes),
         });
         (self.version > version).then(|| SuspectList {
             version: self.version,
@@ -167,6 +245,8 @@
             let suspect = Suspect {
                 crashes: entry.ends.iter().copied().collect(),
                 changed_version: list.version,
+                trial_unix_ms: None,
+                trial_crashes: entry.trial_ends.unwrap_or_default(),
             };
             self.known.insert(request, suspect);
         }
@@ -184,6 +264,7 @@
             suspect.crashes.remove(0);
         }
         suspect.crashes.push(endpoint);
+        suspect.trial_crashes += u32::from(suspect.trial_unix_ms.is_some());
         suspect.changed_version = version;
         self.version = self.version.max(version);
     }
@@ -191,7 +272,7 @@
     fn clear(&mut self, version: u64, request: &RequestKey) {
         let known = self.known.get_mut(request);
         if let Some(suspect) = known.filter(|suspect| !suspect.crashes.is_empty()) {
-            suspect.crashes.clear();
+            *suspect = Suspect::default();
             suspect.changed_version = version;
             self.version = self.version.max(version);
         }
--- a/crates/routing/tests/suspects.rs
+++ b/crates/routing/tests/suspects.rs
@@ -132,6 +132,85 @@
     }
 }
 
+/// Returns a list that holds a prompt part after some crashes.
+fn held_part(part: &RequestKey, crashes: u64) -> Suspects {
+    let mut suspects = Suspects::default();
+    for endpoint in 1..=crashes {
+        suspects.record(endpoint, &[(*part, endpoint)], &[]);
+    }
+    suspects
+}
+
+cases! {
+    a_part_is_named_by_its_key_and_a_whole_request_is_not => {
+        let part = RequestKey::of_part("engines", 0x08bb_043f_7bc2);
+        assert_eq!(part.part(), Some(0x08bb_043f_7bc2));
+        assert_eq!(part.to_string().parse(), Ok(part));
+        assert_ne!(part, RequestKey::of_part("other engines", 0x08bb_043f_7bc2));
+        assert_eq!(key(7).part(), None);
+    }
+    a_held_part_is_tried_until_it_has_crashed_five_endpoints => {
+        let part = RequestKey::of_part("engines", 1);
+        let trial = [(part, false)];
+        let mut suspects = held_part(&part, 3);
+        assert!(suspects.grant_trial(&trial, 10_000));
+        assert!(!suspects.grant_trial(&trial, 11_999), "the first trial may still be running");
+        suspects.record(4, &[(part, 4)], &[]);
+        assert!(!suspects.grant_trial(&trial, 17_999), "the time between trials grows");
+        assert!(suspects.grant_trial(&trial, 18_000));
+        suspects.record(5, &[(part, 5)], &[]);
+        assert!(!suspects.grant_trial(&trial, 10_000_000));
+        assert!(suspects.is_held(&part));
+    }
+    a_part_that_was_sound_is_tried_beyond_that_until_three_trials_have_crashed => {
+        let part = RequestKey::of_part("engines", 1);
+        let mut suspects = held_part(&part, 20);
+        assert!(!suspects.grant_trial(&[(part, false)], 10_000));
+        let mut now_ms = 10_000;
+        for crash in 21..24 {
+            assert!(suspects.grant_trial(&[(part, true)], now_ms));
+            suspects.record(crash, &[(part, crash)], &[]);
+            now_ms += 1_000_000;
+        }
+        assert!(!suspects.grant_trial(&[(part, true)], now_ms));
+    }
+    a_trial_of_several_parts_needs_all_of_them_to_be_due => {
+        let (first, second) = (RequestKey::of_part("engines", 1), RequestKey::of_part("engines", 2));
+        let mut suspects = held_part(&first, 3);
+        for endpoint in 1..=3 {
+            suspects.record(3 + endpoint, &[(second, endpoint)], &[]);
+        }
+        assert!(suspects.grant_trial(&[(second, true)], 10_000));
+        assert!(!suspects.grant_trial(&[(first, true), (second, true)], 11_000));
+        assert!(!suspects.grant_trial(&[(first, true)], 10_100), "trials of different parts have an interval as well");
+        assert!(suspects.grant_trial(&[(first, true), (second, true)], 12_000));
+    }
+    a_part_that_survives_a_trial_is_let_through => {
+        let part = RequestKey::of_part("engines", 1);
+        let mut suspects = held_part(&part, 3);
+        assert!(suspects.grant_trial(&[(part, false)], 10_000));
+        suspects.record(4, &[], &[part]);
+        assert!(!suspects.is_held(&part));
+        suspects.record(5, &[(part, 4)], &[]);
+        assert_eq!(suspects.crash_count(&part), 1);
+    }
+    a_whole_request_is_never_tried => {
+        let mut suspects = held_part(&key(7), 3);
+        assert!(!suspects.grant_trial(&[(key(7), true)], 10_000));
+    }
+    a_gateway_learns_how_many_trials_have_crashed => {
+        let part = RequestKey::of_part("engines", 1);
+        let mut suspects = held_part(&part, 6);
+        for crash in 7..10 {
+            assert!(suspects.grant_trial(&[(part, true)], crash * 1_000_000));
+            suspects.record(crash, &[(part, crash)], &[]);
+        }
+        let mut gateway = Suspects::default();
+        gateway.apply(&suspects.changes_since(0).expect("there are changes"));
+        assert!(gateway.is_held(&part) && !gateway.may_be_tried(&part, true));
+    }
+}
+
 cases! { holds_hardly_any_bystander:
     beside_one_sent_each_second => (load_of(12, 30, 1, 1_000, 1_300, 4), Some(0)),
     beside_one_sent_three_times_a_second => (load_of(12, 30, 1, 300, 1_300, 4), Some(0)),
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -78,7 +78,7 @@
     PutTable(Box<RouteTable>),
     /// Updates the list of endpoints.
     Endpoint(EndpointCommand),
-    /// Records which requests endpoints were working on when they ended.
+    /// Records which requests endpoints were working on when they ended, or grants a trial of held prompt parts.
     Suspects(SuspectsCommand),
 }
 
@@ -87,8 +87,22 @@
 pub struct SuspectsCommand {
     /// Requests, each with the incarnation of the endpoint that ended while working on it.
     pub ends: Vec<(RequestKey, IncarnationHash)>,
-    /// Suspected requests that have completed since.
+    /// Suspected requests that have completed since, and suspected prompt parts on which an answer went on.
     pub completed: Vec<RequestKey>,
+    /// A request with held prompt parts that is to be tried, if any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub trial: Option<TrialCommand>,
+}
+
+/// A gateway's question whether a request may be sent although prompt parts of it are held.
+///
+/// Versions before trials ignore it, so that their records of the last trials stay empty.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TrialCommand {
+    /// The held parts, each with whether it was sound before.
+    pub parts: Vec<(RequestKey, bool)>,
+    /// Time of the leader.
+    pub now_ms: WallMs,
 }
 
 /// An operator's change of the configuration folder.
@@ -209,8 +223,10 @@
     Order(OrderRecord),
     /// Number of the route table in force.
     TableNumber(u64),
-    /// Requests that are newly held.
+    /// Requests and prompt parts that are newly held.
     Held(Vec<RequestKey>),
+    /// Whether a trial is granted.
+    Trial(bool),
 }
 
 impl Command {
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -19,7 +19,7 @@
 pub use changes::Changes;
 pub use command::{
     ChangeCommand, Checked, Command, DrainCommand, OrderCommand, OrderResult, Reply,
-    SuspectsCommand,
+    SuspectsCommand, TrialCommand,
 };
 pub use folder::{Change, Folder};
 pub use members::{LeaseLimits, Members};
--- a/crates/state/src/routing.rs
+++ b/crates/state/src/routing.rs
@@ -13,7 +13,7 @@
 use hinge_schema::routing::{Endpoint, EndpointList, EndpointState, RouteTable};
 use serde::{Deserialize, Serialize};
 
-use crate::command::SuspectsCommand;
+use crate::command::{SuspectsCommand, TrialCommand};
 
 /// The id of an endpoint; an endpoint that restarts may keep its id.
 pub type EndpointId = Box<str>;
@@ -231,6 +231,11 @@
         suspects.held().difference(&held_before).copied().collect()
     }
 
+    /// Grants a trial of held prompt parts if one is due, and returns whether it did.
+    pub fn grant_trial(&mut self, trial: &TrialCommand) -> bool {
+        Arc::make_mut(&mut self.suspects).grant_trial(&trial.parts, trial.now_ms)
+    }
+
     /// Applies a change of the endpoints at a log index.
     pub fn apply(&mut self, index: u64, command: EndpointCommand) {
         let changes = match command {
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -158,7 +158,11 @@
                 Reply::Done
             }
             Command::Suspects(command) => {
-                Reply::Held(self.routing.record_suspects(index, &command))
+                let held = self.routing.record_suspects(index, &command);
+                match &command.trial {
+                    Some(trial) => Reply::Trial(self.routing.grant_trial(trial)),
+                    None => Reply::Held(held),
+                }
             }
         }
     }
