Gateway: tell an answer without a length from one that a crash cut off

Callers saw, in tests: an answer with neither a length nor chunks that a crash ends between two events, or before the first one, was passed on as complete. The crash was counted against nothing, so that a request or a prompt part could crash any number of endpoints if they answer so.

Cause: the end of such an answer proved no completion, but neither was it taken for a break. Both looks alike to the gateway, and it did not ask further.

Change: at such an end the gateway opens a connection to the endpoint (its former one is gone, and the new one is kept). If nothing listens, the answer was cut off: a resumable stream continues elsewhere, others are broken off. A stream that ends so before its first event was cut off too. Until the endpoint is known to have outlived the answer for a second, the request is one under which a crash may have come; then the answer speaks for the request and its parts, as a framed one does at once.

--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -14,7 +14,7 @@
 use hinge_telemetry::log::Component;
 use hinge_telemetry::{info, warn};
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::admission::{AdmissionClient, Grant};
 use crate::attempt::OutgoingRequest;
@@ -28,6 +28,12 @@
 /// and a gateway short of CPU time reads it within a few tens of milliseconds.
 const RESTART_GRACE: Duration = Duration::from_millis(200);
 
+/// Time after which an endpoint's crash at the end of an answer would be known.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
+
+/// Time in which a running endpoint accepts a connection; an answer is held up for as long at its end.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Age beyond which a reported load is no longer used; requests last about a second.
 const MAX_LOAD_AGE: Duration = Duration::from_millis(1500);
 
@@ -150,6 +156,31 @@
             .forget_broken(|broken| broken.key == *request);
     }
 
+    /// Returns whether it is known to have outlived the answers that ended a while ago.
+    async fn has_outlived_answers(&self) -> bool {
+        let is_up = if self.has_admission_report() {
+            self.has_fresh_load() && !self.lock().engine_is_gone()
+        } else {
+            self.accepts_connection().await == Some(true)
+        };
+        is_up && !self.lock_crashes().has_crashed()
+    }
+
+    /// Opens a connection, which is kept, and returns whether it was accepted or refused; `None` if neither is known in time.
+    async fn accepts_connection(&self) -> Option<bool> {
+        let connected = timeout(PROBE_TIMEOUT, pool::connect(self.description.address)).await;
+        match connected.ok()? {
+            Ok(sender) => {
+                self.pool.keep(sender, None);
+                Some(true)
+            }
+            Err(cause) => {
+                self.record_connect_failure(&cause);
+                (cause.kind() == io::ErrorKind::ConnectionRefused).then_some(false)
+            }
+        }
+    }
+
     /// Opens a connection to find out whether anything listens, unless an admission reports that.
     fn probe(self: &Arc<Self>) {
         if self.has_admission_report() || self.is_probing.swap(true, Ordering::AcqRel) {
@@ -454,6 +485,27 @@
         self.endpoint.record_broken(self.broken_request(outgoing));
     }
 
+    /// Returns whether nothing listens at the endpoint's address, so that its crash has ended the answer.
+    pub(crate) async fn is_endpoint_gone(&self) -> bool {
+        self.endpoint.accepts_connection().await == Some(false)
+    }
+
+    /// Records that the answer ended with its connection, so that a crash of the endpoint may have cut it off.
+    ///
+    /// It counts as whole once the endpoint is known to have outlived it.
+    pub(crate) fn record_unproven_end(&self, outgoing: &OutgoingRequest) {
+        let endpoint = Arc::clone(&self.endpoint);
+        let request = self.broken_request(outgoing);
+        endpoint.record_broken(request.clone());
+        tokio::spawn(async move {
+            sleep(SETTLE_TIME).await;
+            if endpoint.has_outlived_answers().await {
+                endpoint.forget_broken(&request.key);
+                endpoint.suspects.record_whole(&request, &endpoint);
+            }
+        });
+    }
+
     fn broken_request(&self, outgoing: &OutgoingRequest) -> BrokenRequest {
         BrokenRequest {
             key: outgoing.key(),
--- a/crates/gateway/src/streaming.rs
+++ b/crates/gateway/src/streaming.rs
@@ -103,9 +103,9 @@
         connection,
         mut in_use,
     } = *answer;
+    let is_success = response.status().is_success();
     // If only the close of the connection marks the end, a crash of the endpoint looks the same.
-    let proves_completion =
-        response.status().is_success() && headers::is_self_delimited(response.headers());
+    let is_framed = headers::is_self_delimited(response.headers());
     let mut body = response.into_body();
     let mut has_begun = false;
     let may_rerun = splitter.is_some() && job.outgoing.may_rerun;
@@ -161,12 +161,18 @@
             return StreamEnd::CallerLeft;
         }
     }
-    // A stream that ends in the middle of an event was truncated.
-    if splitter.is_some_and(|splitter| splitter.has_partial()) {
+    // A stream that ends in the middle of an event was truncated, and so was one without a length that ends before its first event.
+    let is_truncated = splitter.is_some_and(|splitter| {
+        splitter.has_partial() || !is_framed && history.first_chunk.is_none()
+    });
+    // A crash ends an answer without a length like its own end does.
+    if is_truncated || !is_framed && in_use.is_endpoint_gone().await {
         in_use.record_broken(&job.outgoing);
         return StreamEnd::Broken;
     }
-    if proves_completion {
+    if is_success && !is_framed {
+        in_use.record_unproven_end(&job.outgoing);
+    } else if is_success {
         job.record_completed(history);
         if let Some(began_at) = in_use.began_at() {
             job.record_survival(began_at);
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -190,6 +190,15 @@
         }
     }
 
+    /// Records that an answer that ended without proof was whole.
+    pub(crate) fn record_whole(&self, request: &BrokenRequest, endpoint: &Endpoint) {
+        self.clear_request(request.key);
+        if let Some(progress) = &request.progress {
+            let service = &endpoint.description.service;
+            self.record_survival(service, &request.shared_parts, progress.began_at());
+        }
+    }
+
     fn clear_request(&self, request: RequestKey) {
         if self.lock().table.crash_count(&request) == 0 {
             return;
--- a/crates/routing/src/crashes.rs
+++ b/crates/routing/src/crashes.rs
@@ -63,6 +63,12 @@
         running.map(|(_, request)| request).collect()
     }
 
+    /// Returns whether a notice of a crash was recorded.
+    #[must_use]
+    pub fn has_crashed(&self) -> bool {
+        self.crashed_at.is_some()
+    }
+
     /// Forgets broken responses that had another cause than a crash.
     pub fn forget_broken(&mut self, is_unrelated: impl Fn(&R) -> bool) {
         self.broken.retain(|(_, request)| !is_unrelated(request));
