Hold a part that was sound before only for crashes that no new part explains

Change: gateways tell control of suspected parts on which they have seen answers go on. Such a part is held only for three crashes that no held part without such a past explains. A trial is not handed off and ranks like a resumed stream.

--- a/crates/control/src/suspect_calls.rs
+++ b/crates/control/src/suspect_calls.rs
@@ -54,12 +54,8 @@
     core: Arc<Core>,
     message: AskTrial,
 ) -> Result<AskTrialReply, StatusCode> {
-    let parts: Result<Vec<(RequestKey, bool)>, _> = message
-        .parts
-        .iter()
-        .map(|trial| Ok((trial.part.parse()?, trial.was_sound)))
-        .collect();
-    let parts = parts.map_err(|_not_a_key: RequestKeyError| StatusCode::BAD_REQUEST)?;
+    let parts: Result<Vec<RequestKey>, _> = message.parts.iter().map(|part| part.parse()).collect();
+    let parts = parts.map_err(|_not_a_key| StatusCode::BAD_REQUEST)?;
     let now_ms = unix_now_ms();
     let can_grant = {
         let view = core.driver.view.load();
@@ -76,11 +72,10 @@
     let reply = proposed.map_err(|_refused| StatusCode::SERVICE_UNAVAILABLE)?;
     let granted = matches!(reply, Reply::Trial(true));
     if granted {
-        let parts: Vec<&str> = message.parts.iter().map(|trial| &*trial.part).collect();
         info!(
             Component::Control,
             "A request with held prompt parts is tried.",
-            parts = parts.join(","),
+            parts = message.parts.join(","),
             asked_by = message.instance
         );
     }
@@ -99,7 +94,7 @@
         let view = core.driver.view.load();
         new_records(&message, view.routing.suspects())?
     };
-    if command.ends.is_empty() && command.completed.is_empty() {
+    if command.ends.is_empty() && command.completed.is_empty() && command.sound.is_empty() {
         return Ok(ReportSuspectsReply {});
     }
     let proposed = core.propose(Command::Suspects(command)).await;
@@ -152,9 +147,11 @@
     let ends: Result<Vec<_>, _> = message.ends.iter().map(read_end).collect();
     let completed: Result<Vec<RequestKey>, _> =
         message.completed.iter().map(|key| key.parse()).collect();
+    let sound: Result<Vec<RequestKey>, _> = message.sound.iter().map(|key| key.parse()).collect();
     let mut command = SuspectsCommand {
         ends: ends.map_err(bad)?,
         completed: completed.map_err(bad)?,
+        sound: sound.map_err(bad)?,
         trial: None,
     };
     command
@@ -163,6 +160,7 @@
     command
         .completed
         .retain(|request| known.crash_count(request) > 0);
+    command.sound.retain(|part| !known.was_sound(part));
     Ok(command)
 }
 
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use hinge_routing::{
-    BacklogLimits, Candidate, Holders, KvSource, Prompt, StreamKey, StreamOrigin, UsageLag,
-    choose_after_refusal, choose_endpoint, choose_kv_source, token_copy_time,
+    BacklogLimits, Candidate, Holders, KvSource, Prompt, RequestKey, StreamKey, StreamOrigin,
+    UsageLag, choose_after_refusal, choose_endpoint, choose_kv_source, token_copy_time,
 };
 use hinge_schema::routing::{AdmitAsk, Engine, Route};
 use http::StatusCode;
@@ -233,7 +233,7 @@
         let held = match suspects.verdict(&self.outgoing, &self.service) {
             Verdict::Allowed => return None,
             Verdict::Held(parts) => parts,
-            Verdict::MayTry(parts) => parts.iter().filter_map(|(part, _)| part.part()).collect(),
+            Verdict::MayTry(parts) => parts.iter().filter_map(RequestKey::part).collect(),
         };
         let trial = &self.outgoing.trial_parts;
         let is_tried = !held.is_empty() && held.iter().all(|part| trial.contains(part));
@@ -322,8 +322,10 @@
     /// When an endpoint ends under load, all of its streams look for other endpoints at once, where the queues are already full.
     /// A refused stream loses all work that was done for it, so a resumed stream ranks before requests that have not begun, and
     /// may wait for as long as its caller does. A request that was only refused elsewhere has used up part of its time.
+    ///
+    /// So does a trial of held prompt parts, on which other requests depend.
     fn urgency(&self, history: &History) -> (u32, Duration) {
-        if history.first_chunk.is_some() {
+        if history.first_chunk.is_some() || !self.outgoing.trial_parts.is_empty() {
             let left = self
                 .outgoing
                 .ends_at
--- a/crates/gateway/src/part_trials.rs
+++ b/crates/gateway/src/part_trials.rs
@@ -9,7 +9,7 @@
 use hinge_control::TRY_PARTS_PATH;
 use hinge_link::Client;
 use hinge_routing::RequestKey;
-use hinge_schema::routing::{AskTrial, AskTrialReply, TrialPart};
+use hinge_schema::routing::{AskTrial, AskTrialReply};
 use hinge_telemetry::info;
 use hinge_telemetry::log::Component;
 use hinge_telemetry::metrics::Registry;
@@ -27,8 +27,8 @@
 /// Timeout of a question, during which a request waits.
 const ASK_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// The held parts of a request's prompt, each with whether this gateway has seen an answer on it go on.
-pub(crate) type TrialParts = SmallVec<[(RequestKey, bool); 3]>;
+/// The held parts of a request's prompt.
+pub(crate) type TrialParts = SmallVec<[RequestKey; 3]>;
 
 #[derive(Debug)]
 struct Ask {
@@ -105,20 +105,13 @@
         let Some(ask) = trials.lock().next.take() else {
             continue;
         };
-        let parts = ask.parts.iter().map(|(part, was_sound)| TrialPart {
-            part: part.to_string().into(),
-            was_sound: *was_sound,
-        });
+        let parts = ask.parts.iter().map(|part| part.to_string().into());
         let message = AskTrial {
             instance: instance.clone(),
             parts: parts.collect(),
         };
         let granted = ask_any(&client, &routing, &message).await;
-        let ids: SmallVec<[u64; 3]> = ask
-            .parts
-            .iter()
-            .filter_map(|(part, _)| part.part())
-            .collect();
+        let ids: SmallVec<[u64; 3]> = ask.parts.iter().filter_map(RequestKey::part).collect();
         info!(
             Component::Gateway,
             "Asked control for a trial of held prompt parts.",
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hinge_routing::{Overloaded, RouteIndex, StreamOrigin};
+use hinge_routing::{Overloaded, RequestKey, RouteIndex, StreamOrigin};
 use hinge_schema::routing::{Engine, RequestKind, Route};
 use hinge_telemetry::info;
 use hinge_telemetry::log::Component;
@@ -103,7 +103,7 @@
         Verdict::Allowed => {}
         Verdict::Held(parts) => return refuse_held(&gateway, &route, &outgoing, &parts),
         Verdict::MayTry(parts) => {
-            let held = parts.iter().filter_map(|(part, _)| part.part());
+            let held = parts.iter().filter_map(RequestKey::part);
             let held: SmallVec<[u64; 3]> = held.collect();
             if !suspects.trials.ask(parts).await {
                 return refuse_held(&gateway, &route, &outgoing, &held);
@@ -113,6 +113,8 @@
     }
     let team = outgoing.team.as_deref();
     let admitted = match origin {
+        // A trial is rare, and another gateway would hold it.
+        _ if !outgoing.trial_parts.is_empty() => Ok(None),
         Origin::Caller => admit_caller(&gateway, engine.is_some(), team),
         Origin::Gateway => match admit_handoff(&gateway, engine.is_some(), team) {
             Ok(running) => Ok(running),
--- a/crates/gateway/src/suspect_reports.rs
+++ b/crates/gateway/src/suspect_reports.rs
@@ -30,6 +30,7 @@
 struct Report {
     ends: Vec<(RequestKey, IncarnationHash)>,
     completed: Vec<RequestKey>,
+    sound: Vec<RequestKey>,
 }
 
 /// Observations that control has not acknowledged yet.
@@ -50,6 +51,11 @@
         self.add(|report| report.completed.push(request));
     }
 
+    /// Adds a suspected prompt part on which answers went on before.
+    pub(crate) fn add_sound(&self, part: RequestKey) {
+        self.add(|report| report.sound.push(part));
+    }
+
     fn add(&self, add: impl FnOnce(&mut Report)) {
         let mut report = self.lock();
         add(&mut report);
@@ -67,6 +73,7 @@
         let mut later = std::mem::replace(&mut *report, earlier);
         report.ends.append(&mut later.ends);
         report.completed.append(&mut later.completed);
+        report.sound.append(&mut later.sound);
         report.drop_oldest();
         self.added.notify_one();
     }
@@ -82,6 +89,8 @@
         self.ends.drain(..too_many);
         let too_many = self.completed.len().saturating_sub(MAX_PENDING);
         self.completed.drain(..too_many);
+        let too_many = self.sound.len().saturating_sub(MAX_PENDING);
+        self.sound.drain(..too_many);
     }
 
     fn message(&self, instance: &str) -> ReportSuspects {
@@ -96,6 +105,11 @@
             completed: completed
                 .map(|request| request.to_string().into())
                 .collect(),
+            sound: self
+                .sound
+                .iter()
+                .map(|part| part.to_string().into())
+                .collect(),
         }
     }
 }
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -145,6 +145,7 @@
         let ended = endpoint.incarnation;
         let mut counted: SmallVec<[RequestKey; 4]> = SmallVec::new();
         counted.push(request.key);
+        let mut sound_parts: SmallVec<[RequestKey; 4]> = SmallVec::new();
         let now = self.now();
         let ends = self.update(|state| {
             let may_be_poison = request
@@ -157,13 +158,20 @@
                     counted.push(part);
                 }
             }
+            let sound = counted.iter().copied();
+            sound_parts = sound.filter(|key| state.evidence.was_sound(key)).collect();
+            let version = state.table.version();
+            state.table.record_sound(version, &sound_parts);
             let crashes: SmallVec<[_; 4]> = counted.iter().map(|key| (*key, ended)).collect();
-            state.table.record(state.table.version(), &crashes, &[]);
+            state.table.record(version, &crashes, &[]);
             state.table.crash_count(&request.key)
         });
         for key in &counted {
             self.pending_reports.add_end((*key, ended));
         }
+        for part in sound_parts {
+            self.pending_reports.add_sound(part);
+        }
         let blamed: SmallVec<[u64; 3]> = counted.iter().filter_map(RequestKey::part).collect();
         warn!(
             Component::Gateway,
@@ -253,22 +261,21 @@
             .part_keys(service)
             .into_iter()
             .filter(|part| state.table.is_held(part))
-            .map(|part| (part, state.evidence.was_sound(&part)))
             .collect();
         if held.is_empty() {
             return Verdict::Allowed;
         }
-        let may_try = held.iter().all(|(part, was_sound)| {
+        let may_try = held.iter().all(|part| {
             let held_since = state.held_since.get(part);
             let is_settled = held_since.is_some_and(|since| since.elapsed() >= TRIAL_DELAY);
             // If the answer to a request with several held parts breaks off, all of them are to blame.
-            let is_clear = held.len() == 1 || *was_sound;
-            is_settled && is_clear && state.table.may_be_tried(part, *was_sound)
+            let is_clear = held.len() == 1 || state.table.was_sound(part);
+            is_settled && is_clear && state.table.may_be_tried(part)
         });
         if may_try {
             Verdict::MayTry(held)
         } else {
-            Verdict::Held(held.iter().filter_map(|(part, _)| part.part()).collect())
+            Verdict::Held(held.iter().filter_map(RequestKey::part).collect())
         }
     }
 
@@ -297,6 +304,7 @@
         let keys = list.suspects.iter();
         let parts = keys.filter_map(|entry| entry.request.parse::<RequestKey>().ok());
         let parts = parts.filter(|key| key.part().is_some());
+        let mut sound: SmallVec<[RequestKey; 4]> = SmallVec::new();
         let cleared: SmallVec<[RequestKey; 4]> = self.update(|state| {
             let known: Vec<(RequestKey, usize)> = parts
                 .map(|part| (part, state.table.crash_count(&part)))
@@ -307,12 +315,22 @@
             } = state;
             let newly_suspected = known
                 .into_iter()
-                .filter(|(part, before)| table.crash_count(part) > *before);
-            newly_suspected
-                .filter(|(part, _)| evidence.record_suspicion(*part, now))
-                .map(|(part, _)| part)
-                .collect()
+                .filter(|(part, before)| table.crash_count(part) > *before)
+                .map(|(part, _)| part);
+            let mut cleared = SmallVec::new();
+            for part in newly_suspected {
+                if evidence.record_suspicion(part, now) {
+                    cleared.push(part);
+                } else if evidence.was_sound(&part) && !table.was_sound(&part) {
+                    sound.push(part);
+                }
+            }
+            table.record_sound(table.version(), &sound);
+            cleared
         });
+        for part in sound {
+            self.pending_reports.add_sound(part);
+        }
         if !cleared.is_empty() {
             self.clear(&cleared);
         }
--- a/crates/routing/src/suspects.rs
+++ b/crates/routing/src/suspects.rs
@@ -6,11 +6,12 @@
 //! completion between them: a request that only ran beside the poison one completes sooner or later.
 //!
 //! A poison prompt part does the same in requests that have nothing else in common. What counts against a part is
-//! decided by [`crate::PartEvidence`]. Since a held part stops all requests that have it, one of them at a time is
+//! decided by [`crate::PartEvidence`]; a part that was sound before is not held for crashes that a held part which was
+//! not explains. Since a held part stops all requests that have it, one of them at a time is
 //! tried until the part has as many crashes as the fleet may spend on it.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 
 use hinge_schema::messages::SuspectRecord;
 use hinge_schema::routing::{Suspect as SuspectEntry, SuspectList};
@@ -59,6 +60,9 @@
     /// When the last trial was granted, in Unix milliseconds; missing in records of versions before trials.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     trial_unix_ms: Option<u64>,
+    /// Whether answers on the prompt part went on before; missing in records of versions before trials.
+    #[serde(default)]
+    was_sound: bool,
     /// Crashes since the first trial; missing in records of versions before trials.
     #[serde(default)]
     trial_crashes: u32,
@@ -140,22 +144,22 @@
         self.held.contains(request)
     }
 
-    /// Returns whether a held prompt part may still be tried; `was_sound` tells whether answers on it survived before.
+    /// Returns whether a held prompt part may still be tried.
     #[must_use]
-    pub fn may_be_tried(&self, part: &RequestKey, was_sound: bool) -> bool {
+    pub fn may_be_tried(&self, part: &RequestKey) -> bool {
         let known = self.known.get(part);
         let known = known.filter(|_| part.part().is_some() && self.is_held(part));
         known.is_some_and(|suspect| {
             suspect.crashes.len() < MAX_PART_CRASHES
-                || was_sound && suspect.trial_crashes < MAX_TRIAL_CRASHES
+                || suspect.was_sound && suspect.trial_crashes < MAX_TRIAL_CRASHES
         })
     }
 
-    /// Returns whether a trial of a request with held prompt parts can be granted, given whether each part was sound before.
+    /// Returns whether a trial of a request with these held prompt parts can be granted.
     ///
     /// It can't while an earlier trial of one of them may still be running.
     #[must_use]
-    pub fn can_grant_trial(&self, parts: &[(RequestKey, bool)], now_unix_ms: u64) -> bool {
+    pub fn can_grant_trial(&self, parts: &[RequestKey], now_unix_ms: u64) -> bool {
         let is_past = |granted: Option<u64>, interval_ms| {
             granted.is_none_or(|granted| granted.abs_diff(now_unix_ms) >= interval_ms)
         };
@@ -168,15 +172,15 @@
             && is_past(self.trial_unix_ms, ANY_TRIAL_INTERVAL_MS)
             && parts
                 .iter()
-                .all(|(part, was_sound)| self.may_be_tried(part, *was_sound) && is_due(part))
+                .all(|part| self.may_be_tried(part) && is_due(part))
     }
 
     /// Grants a trial if [`Self::can_grant_trial`] allows it, and returns whether it did.
-    pub fn grant_trial(&mut self, parts: &[(RequestKey, bool)], now_unix_ms: u64) -> bool {
+    pub fn grant_trial(&mut self, parts: &[RequestKey], now_unix_ms: u64) -> bool {
         if !self.can_grant_trial(parts, now_unix_ms) {
             return false;
         }
-        for (part, _) in parts {
+        for part in parts {
             self.known.entry(*part).or_default().trial_unix_ms = Some(now_unix_ms);
         }
         self.trial_unix_ms = Some(now_unix_ms);
@@ -218,6 +222,28 @@
         self.update_held();
     }
 
+    /// Returns whether answers on a suspected prompt part are known to have gone on before.
+    #[must_use]
+    pub fn was_sound(&self, part: &RequestKey) -> bool {
+        self.known
+            .get(part)
+            .is_some_and(|suspect| suspect.was_sound)
+    }
+
+    /// Records, as a version of the list, prompt parts on which answers went on before.
+    pub fn record_sound(&mut self, version: u64, parts: &[RequestKey]) {
+        for part in parts {
+            self.make_room(part);
+            let suspect = self.known.entry(*part).or_default();
+            if !suspect.was_sound {
+                suspect.was_sound = true;
+                suspect.changed_version = version;
+                self.version = self.version.max(version);
+            }
+        }
+        self.update_held();
+    }
+
     /// Returns the changes after a version, or `None` if there are none.
     #[must_use]
     pub fn changes_since(&self, version: u64) -> Option<SuspectList> {
@@ -226,6 +252,7 @@
         let suspects = changed.map(|(request, suspect)| SuspectEntry {
             request: request.to_string().into(),
             ends: suspect.crashes.to_vec(),
+            was_sound: suspect.was_sound.then_some(true),
             trial_ends: (suspect.trial_crashes > 0).then_some(suspect.trial_crashes),
         });
         (self.version > version).then(|| SuspectList {
@@ -245,6 +272,7 @@
             let suspect = Suspect {
                 crashes: entry.ends.iter().copied().collect(),
                 changed_version: list.version,
+                was_sound: entry.was_sound.unwrap_or_default(),
                 trial_unix_ms: None,
                 trial_crashes: entry.trial_ends.unwrap_or_default(),
             };
@@ -272,7 +300,10 @@
     fn clear(&mut self, version: u64, request: &RequestKey) {
         let known = self.known.get_mut(request);
         if let Some(suspect) = known.filter(|suspect| !suspect.crashes.is_empty()) {
-            *suspect = Suspect::default();
+            *suspect = Suspect {
+                was_sound: request.part().is_some(),
+                ..Suspect::default()
+            };
             suspect.changed_version = version;
             self.version = self.version.max(version);
         }
@@ -295,10 +326,22 @@
         }
     }
 
-    /// Holds the requests with enough crashes; one that has completed since has none.
+    /// Holds the requests and parts with enough crashes; one that has completed since has none.
+    ///
+    /// A poison part that no sound request has is in the same requests as parts that were sound before. If it is held, it
+    /// explains their crashes as well.
     fn update_held(&mut self) {
-        let known = self.known.iter();
-        let to_hold = known.filter(|(_, suspect)| suspect.crashes.len() >= CRASHES_TO_HOLD);
+        let new_parts = self.known.iter().filter(|(key, suspect)| {
+            key.part().is_some() && !suspect.was_sound && suspect.crashes.len() >= CRASHES_TO_HOLD
+        });
+        let explained: HashSet<IncarnationHash> = new_parts
+            .flat_map(|(_, suspect)| suspect.crashes.iter().copied())
+            .collect();
+        let to_hold = self.known.iter().filter(|(_, suspect)| {
+            let counted = suspect.crashes.iter();
+            let counted = counted.filter(|crash| !suspect.was_sound || !explained.contains(*crash));
+            counted.count() >= CRASHES_TO_HOLD
+        });
         self.held = to_hold.map(|(request, _)| *request).collect();
     }
 }
--- a/crates/routing/tests/part_model/mod.rs
+++ b/crates/routing/tests/part_model/mod.rs
@@ -33,6 +33,9 @@
 /// Time after which an answer that is still being written speaks for its parts, as gateways count it.
 const SURVIVAL_MS: u64 = 500;
 
+/// Time for which a part is held before gateways ask for a trial.
+const TRIAL_DELAY_MS: u64 = 1_000;
+
 const SERVICE: &str = "engines";
 
 /// The prompts of a route.
@@ -243,6 +246,12 @@
         reports.survived.extend(survived);
     }
 
+    fn report_sound(&mut self, part: RequestKey) {
+        let version = self.control.version() + 1;
+        self.control.record_sound(version, &[part]);
+        self.view.record_sound(version, &[part]);
+    }
+
     fn deliver_reports(&mut self) {
         let Some(Report { crashes, survived }) = self.reported.remove(&self.now) else {
             return;
@@ -250,14 +259,19 @@
         let version = self.view.version() + 1;
         self.view.record(version, &crashes, &survived);
         let now = duration(self.now);
-        let mut cleared = BTreeSet::new();
+        let (mut cleared, mut sound) = (BTreeSet::new(), BTreeSet::new());
         for (part, _) in crashes {
             for evidence in &mut self.evidence {
                 if evidence.record_suspicion(part, now) {
                     cleared.insert(part);
+                } else if evidence.was_sound(&part) {
+                    sound.insert(part);
                 }
             }
         }
+        for part in sound {
+            self.report_sound(part);
+        }
         for part in cleared {
             self.report(None, Some(part));
         }
@@ -276,6 +290,9 @@
         let now = duration(self.now);
         for part in &run.parts {
             if !self.evidence[run.gateway].record_suspicion(*part, now) {
+                if self.evidence[run.gateway].was_sound(part) {
+                    self.report_sound(*part);
+                }
                 self.report(Some((*part, incarnation)), None);
             }
         }
@@ -438,24 +455,20 @@
 
     /// Returns whether no part is held, or the only held one is tried now.
     fn is_let_through(&mut self, parts: &[RequestKey]) -> bool {
-        let evidence = &self.evidence[self.rng.random_range(0..self.evidence.len())];
-        let held: Vec<(RequestKey, bool)> = parts
+        let held: Vec<RequestKey> = parts
             .iter()
+            .copied()
             .filter(|part| self.view.is_held(part))
-            .map(|part| (*part, evidence.was_sound(part)))
             .collect();
-        let is_settled = |part| {
-            self.held_since
-                .get(part)
-                .is_some_and(|since| self.now >= since + 1_000)
-        };
         if held.is_empty() {
             return true;
         }
-        let may_be_tried = held.iter().all(|(part, was_sound)| {
-            is_settled(part)
-                && (held.len() == 1 || *was_sound)
-                && self.view.may_be_tried(part, *was_sound)
+        let may_be_tried = held.iter().all(|part| {
+            let since = self.held_since.get(part);
+            let is_settled = since.is_some_and(|since| self.now >= since + TRIAL_DELAY_MS);
+            is_settled
+                && (held.len() == 1 || self.view.was_sound(part))
+                && self.view.may_be_tried(part)
         });
         may_be_tried && self.control.grant_trial(&held, self.now)
     }
--- a/crates/routing/tests/suspects.rs
+++ b/crates/routing/tests/suspects.rs
@@ -151,7 +151,7 @@
     }
     a_held_part_is_tried_until_it_has_crashed_five_endpoints => {
         let part = RequestKey::of_part("engines", 1);
-        let trial = [(part, false)];
+        let trial = [part];
         let mut suspects = held_part(&part, 3);
         assert!(suspects.grant_trial(&trial, 10_000));
         assert!(!suspects.grant_trial(&trial, 11_999), "the first trial may still be running");
@@ -165,14 +165,41 @@
     a_part_that_was_sound_is_tried_beyond_that_until_three_trials_have_crashed => {
         let part = RequestKey::of_part("engines", 1);
         let mut suspects = held_part(&part, 20);
-        assert!(!suspects.grant_trial(&[(part, false)], 10_000));
+        assert!(!suspects.grant_trial(&[part], 10_000));
+        suspects.record_sound(20, &[part]);
         let mut now_ms = 10_000;
         for crash in 21..24 {
-            assert!(suspects.grant_trial(&[(part, true)], now_ms));
+            assert!(suspects.grant_trial(&[part], now_ms));
             suspects.record(crash, &[(part, crash)], &[]);
             now_ms += 1_000_000;
         }
-        assert!(!suspects.grant_trial(&[(part, true)], now_ms));
+        assert!(!suspects.grant_trial(&[part], now_ms));
+    }
+    a_part_that_was_sound_is_not_held_for_the_crashes_of_a_new_one => {
+        let (sound, poison) = (RequestKey::of_part("engines", 1), RequestKey::of_part("engines", 2));
+        let mut suspects = Suspects::default();
+        suspects.record_sound(1, &[sound]);
+        for endpoint in 1..=5 {
+            suspects.record(1 + endpoint, &[(sound, endpoint), (poison, endpoint)], &[]);
+        }
+        assert!(suspects.is_held(&poison) && !suspects.is_held(&sound));
+        let mut gateway = Suspects::default();
+        gateway.apply(&suspects.changes_since(0).expect("there are changes"));
+        assert_eq!(gateway.held(), suspects.held());
+        for endpoint in 6..=8 {
+            suspects.record(1 + endpoint, &[(sound, endpoint)], &[]);
+        }
+        assert!(suspects.is_held(&sound), "three crashes have no other explanation");
+    }
+    a_part_that_was_sound_is_held_if_it_turns_poisonous => {
+        let part = RequestKey::of_part("engines", 1);
+        let mut suspects = Suspects::default();
+        for endpoint in 1..=3 {
+            suspects.record_sound(endpoint, &[part]);
+            let other = RequestKey::of_part("engines", 100 + endpoint);
+            suspects.record(endpoint, &[(part, endpoint), (other, endpoint)], &[]);
+        }
+        assert_eq!(suspects.held().iter().collect::<Vec<_>>(), [&part]);
     }
     a_trial_of_several_parts_needs_all_of_them_to_be_due => {
         let (first, second) = (RequestKey::of_part("engines", 1), RequestKey::of_part("engines", 2));
@@ -180,15 +207,15 @@
         for endpoint in 1..=3 {
             suspects.record(3 + endpoint, &[(second, endpoint)], &[]);
         }
-        assert!(suspects.grant_trial(&[(second, true)], 10_000));
-        assert!(!suspects.grant_trial(&[(first, true), (second, true)], 11_000));
-        assert!(!suspects.grant_trial(&[(first, true)], 10_100), "trials of different parts have an interval as well");
-        assert!(suspects.grant_trial(&[(first, true), (second, true)], 12_000));
+        assert!(suspects.grant_trial(&[second], 10_000));
+        assert!(!suspects.grant_trial(&[first, second], 11_000));
+        assert!(!suspects.grant_trial(&[first], 10_100), "trials of different parts have an interval as well");
+        assert!(suspects.grant_trial(&[first, second], 12_000));
     }
     a_part_that_survives_a_trial_is_let_through => {
         let part = RequestKey::of_part("engines", 1);
         let mut suspects = held_part(&part, 3);
-        assert!(suspects.grant_trial(&[(part, false)], 10_000));
+        assert!(suspects.grant_trial(&[part], 10_000));
         suspects.record(4, &[], &[part]);
         assert!(!suspects.is_held(&part));
         suspects.record(5, &[(part, 4)], &[]);
@@ -196,18 +223,19 @@
     }
     a_whole_request_is_never_tried => {
         let mut suspects = held_part(&key(7), 3);
-        assert!(!suspects.grant_trial(&[(key(7), true)], 10_000));
+        assert!(!suspects.grant_trial(&[key(7)], 10_000));
     }
     a_gateway_learns_how_many_trials_have_crashed => {
         let part = RequestKey::of_part("engines", 1);
         let mut suspects = held_part(&part, 6);
+        suspects.record_sound(6, &[part]);
         for crash in 7..10 {
-            assert!(suspects.grant_trial(&[(part, true)], crash * 1_000_000));
+            assert!(suspects.grant_trial(&[part], crash * 1_000_000));
             suspects.record(crash, &[(part, crash)], &[]);
         }
         let mut gateway = Suspects::default();
         gateway.apply(&suspects.changes_since(0).expect("there are changes"));
-        assert!(gateway.is_held(&part) && !gateway.may_be_tried(&part, true));
+        assert!(gateway.is_held(&part) && !gateway.may_be_tried(&part));
     }
 }
 
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -89,6 +89,9 @@
     pub ends: Vec<(RequestKey, IncarnationHash)>,
     /// Suspected requests that have completed since, and suspected prompt parts on which an answer went on.
     pub completed: Vec<RequestKey>,
+    /// Suspected prompt parts on which answers went on before.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub sound: Vec<RequestKey>,
     /// A request with held prompt parts that is to be tried, if any.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub trial: Option<TrialCommand>,
@@ -99,8 +102,8 @@
 /// Versions before trials ignore it, so that their records of the last trials stay empty.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TrialCommand {
-    /// The held parts, each with whether it was sound before.
-    pub parts: Vec<(RequestKey, bool)>,
+    /// All held parts of the request.
+    pub parts: Vec<RequestKey>,
     /// Time of the leader.
     pub now_ms: WallMs,
 }
--- a/crates/state/src/routing.rs
+++ b/crates/state/src/routing.rs
@@ -227,6 +227,7 @@
     pub fn record_suspects(&mut self, index: u64, command: &SuspectsCommand) -> Vec<RequestKey> {
         let held_before = self.suspects.held().clone();
         let suspects = Arc::make_mut(&mut self.suspects);
+        suspects.record_sound(index, &command.sound);
         suspects.record(index, &command.ends, &command.completed);
         suspects.held().difference(&held_before).copied().collect()
     }
--- a/crates/state/tests/suspects.rs
+++ b/crates/state/tests/suspects.rs
@@ -49,7 +49,7 @@
         let mut state = State::default();
         let ask = |state: &mut State, now_ms| {
             let command = SuspectsCommand {
-                trial: Some(TrialCommand { parts: vec![(part, false)], now_ms }),
+                trial: Some(TrialCommand { parts: vec![part], now_ms }),
                 ..SuspectsCommand::default()
             };
             state.apply(state.applied_index() + 1, 1, Command::Suspects(command))
