Try a held part that another held part explains

Change: a part of which another held part has all crashes may be tried whatever their number. If the trial crashes, the other part explains that no longer, so that of two parts with the same crashes one trial is spent on the poison one at most.

--- a/crates/routing/src/suspects.rs
+++ b/crates/routing/src/suspects.rs
@@ -27,8 +27,8 @@
 /// Crashes that are spent on a prompt part: once it has as many, it is not tried any more.
 const MAX_PART_CRASHES: usize = 5;
 
-/// Further crashes that are spent on a part which was sound before, whatever its other crashes: parts of sound
-/// requests have as many as a poison part if all endpoints crash at once.
+/// Further crashes that are spent on a part which was sound before, or of which another held part has all crashes: parts
+/// of sound requests have as many as a poison part if all endpoints crash at once.
 const MAX_TRIAL_CRASHES: u32 = 3;
 
 /// Minimum time between two trials of a prompt part, in milliseconds; it grows fourfold with each crash of a trial.
@@ -151,10 +151,22 @@
         let known = known.filter(|_| part.part().is_some() && self.is_held(part));
         known.is_some_and(|suspect| {
             suspect.crashes.len() < MAX_PART_CRASHES
-                || suspect.was_sound && suspect.trial_crashes < MAX_TRIAL_CRASHES
+                || suspect.trial_crashes < MAX_TRIAL_CRASHES
+                    && (suspect.was_sound || self.is_explained(part, suspect))
         })
     }
 
+    /// Returns whether another held part has all crashes of this one, so that this one may be sound.
+    fn is_explained(&self, part: &RequestKey, suspect: &Suspect) -> bool {
+        let others = self
+            .held
+            .iter()
+            .filter(|other| *other != part && other.part().is_some());
+        let mut others = others.filter_map(|other| self.known.get(other));
+        let crashes = &suspect.crashes;
+        others.any(|other| crashes.iter().all(|crash| other.crashes.contains(crash)))
+    }
+
     /// Returns whether a trial of a request with these held prompt parts can be granted.
     ///
     /// It can't while an earlier trial of one of them may still be running.
--- a/crates/routing/tests/part_evidence.rs
+++ b/crates/routing/tests/part_evidence.rs
@@ -48,6 +48,12 @@
         sum(|outcome| outcome.all_sound)
     );
     assert!(sound > 0, "sound requests are counted");
+    let on_new_topic = sum(|outcome| outcome.on_new_topic);
+    let refused_on_new_topic = sum(|outcome| outcome.on_new_topic_refused);
+    assert!(
+        refused_on_new_topic * 20 <= on_new_topic,
+        "{refused_on_new_topic} of {on_new_topic} requests on the new topic were refused"
+    );
     assert!(
         refused * 20 <= sound,
         "{refused} of {sound} sound requests were refused"
@@ -136,6 +142,8 @@
     with_three_parts_that_are_known_late => load_of(12, Poison::OwnParts(3), 300, 1_300),
     with_ten_parts => load_of(12, Poison::OwnParts(10), 300, 300),
     with_ten_parts_ten_times_a_second => load_of(12, Poison::OwnParts(10), 100, 300),
+    with_one_part_beside_a_new_topic => load_of(12, Poison::WithNewTopic, 100, 300),
+    with_one_part_beside_a_new_topic_once_a_second => load_of(47, Poison::WithNewTopic, 1_000, 600),
     with_one_part_on_47_engines => load_of(47, Poison::OwnParts(1), 100, 300),
     with_ten_parts_on_47_engines => load_of(47, Poison::OwnParts(10), 100, 600),
     with_one_part_on_200_engines => load_of(200, Poison::OwnParts(1), 100, 600),
--- a/crates/routing/tests/part_model/mod.rs
+++ b/crates/routing/tests/part_model/mod.rs
@@ -73,11 +73,16 @@
 /// The route of poison requests.
 const POISON_ROUTE: u64 = 1;
 
+/// Time between two sound requests on a topic that is new with the poison requests.
+const NEW_TOPIC_INTERVAL_MS: u64 = 500;
+
 /// What makes requests poison.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Poison {
     /// As many parts that only poison requests have, beside parts of sound ones.
     OwnParts(u64),
+    /// A part that only poison requests have, beside a topic that no request had before.
+    WithNewTopic,
     /// The first part of all requests of a route, which was sound before.
     FirstPart,
 }
@@ -104,6 +109,9 @@
     /// Sound requests with the route or the team of the poison ones from twice [`CONTACT_MS`] after the last allowed crash on.
     pub sound: usize,
     pub sound_refused: usize,
+    /// Sound requests on the topic that is new with the poison ones.
+    pub on_new_topic: usize,
+    pub on_new_topic_refused: usize,
     /// Sound requests that were refused at any time.
     pub all_refused: usize,
     pub all_sound: usize,
@@ -175,6 +183,11 @@
     part(0xbad0 + number)
 }
 
+/// Returns the topic of poison requests that no request had before.
+fn new_topic() -> RequestKey {
+    part(0xaaaa)
+}
+
 fn duration(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
@@ -349,16 +362,31 @@
     }
 
     fn send_poison(&mut self) {
-        let Poison::OwnParts(count) = self.load.poison else {
-            return;
+        let count = match self.load.poison {
+            Poison::OwnParts(count) => count,
+            Poison::WithNewTopic => 1,
+            Poison::FirstPart => return,
         };
         if self.now < POISON_FROM_MS {
             return;
         }
+        if self.load.poison == Poison::WithNewTopic
+            && self.now.is_multiple_of(NEW_TOPIC_INTERVAL_MS)
+        {
+            self.send(
+                POISON_ROUTE,
+                0,
+                vec![first_part(POISON_ROUTE), new_topic()],
+                None,
+            );
+        }
         let is_sent = self.rng.random_range(0..self.load.poison_interval_ms) < STEP_MS;
         if is_sent {
             let poison = poison_part(self.rng.random_range(0..count));
-            let mut parts = self.sound_parts(POISON_ROUTE, 0);
+            let mut parts = match self.load.poison {
+                Poison::WithNewTopic => vec![first_part(POISON_ROUTE), new_topic()],
+                _ => self.sound_parts(POISON_ROUTE, 0),
+            };
             parts.push(poison);
             self.send(POISON_ROUTE, 0, parts, Some(poison));
         }
@@ -415,7 +443,7 @@
         let poison = poison.or_else(|| has_turned.then(|| first_part(route)));
         let is_refused = !self.is_let_through(&parts);
         if poison.is_none() {
-            self.count_sound(route, team, is_refused);
+            self.count_sound(route, team, parts.contains(&new_topic()), is_refused);
         }
         if is_refused {
             return;
@@ -473,7 +501,7 @@
         may_be_tried && self.control.grant_trial(&held, self.now)
     }
 
-    fn count_sound(&mut self, route: u64, team: u64, is_refused: bool) {
+    fn count_sound(&mut self, route: u64, team: u64, is_on_new_topic: bool, is_refused: bool) {
         self.outcome.all_sound += 1;
         self.outcome.all_refused += usize::from(is_refused);
         let last = self.last_allowed_crash.values().max();
@@ -481,6 +509,8 @@
         if is_counted && (route == POISON_ROUTE || team == 0) {
             self.outcome.sound += 1;
             self.outcome.sound_refused += usize::from(is_refused);
+            self.outcome.on_new_topic += usize::from(is_on_new_topic);
+            self.outcome.on_new_topic_refused += usize::from(is_on_new_topic && is_refused);
         }
     }
 }
--- a/crates/routing/tests/suspects.rs
+++ b/crates/routing/tests/suspects.rs
@@ -191,6 +191,19 @@
         }
         assert!(suspects.is_held(&sound), "three crashes have no other explanation");
     }
+    of_two_parts_with_the_same_crashes_the_one_that_crashes_in_a_trial_is_not_tried_again => {
+        let (first, second) = (RequestKey::of_part("engines", 1), RequestKey::of_part("engines", 2));
+        let mut suspects = Suspects::default();
+        for endpoint in 1..=6 {
+            suspects.record(endpoint, &[(first, endpoint), (second, endpoint)], &[]);
+        }
+        assert!(suspects.grant_trial(&[first], 10_000));
+        suspects.record(7, &[(first, 7)], &[]);
+        assert!(!suspects.may_be_tried(&first));
+        assert!(suspects.grant_trial(&[second], 20_000), "the first one explains all of its crashes");
+        suspects.record(8, &[], &[second]);
+        assert!(suspects.is_held(&first) && !suspects.is_held(&second));
+    }
     a_part_that_was_sound_is_held_if_it_turns_poisonous => {
         let part = RequestKey::of_part("engines", 1);
         let mut suspects = Suspects::default();
