Gateway: compute a request's key only while something is held

A request that was broken off once under a crash and never completed stays suspected for good, so that after the first crash each request's body was hashed for a question that only held requests concern.

--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -85,8 +85,9 @@
 #[derive(Debug)]
 pub(crate) struct Suspects {
     state: Mutex<State>,
-    /// Whether any request is suspected; if none is, no request key has to be computed.
+    /// Whether any request or part is suspected, and whether any is held; if none is, no request key has to be computed.
     has_any: AtomicBool,
+    has_held: AtomicBool,
     /// Observations that control has not acknowledged yet.
     pub(crate) pending_reports: PendingReports,
     pub(crate) trials: PartTrials,
@@ -103,6 +104,7 @@
         Self {
             state: Mutex::default(),
             has_any: AtomicBool::new(false),
+            has_held: AtomicBool::new(false),
             pending_reports: PendingReports::default(),
             trials: PartTrials::register(registry),
             began: Instant::now(),
@@ -250,7 +252,7 @@
 
     /// Returns whether a request may be sent to endpoints of a service.
     pub(crate) fn verdict(&self, outgoing: &OutgoingRequest, service: &str) -> Verdict {
-        if !self.has_any.load(Ordering::Acquire) {
+        if !self.has_held.load(Ordering::Acquire) {
             return Verdict::Allowed;
         }
         let state = self.lock();
@@ -351,6 +353,7 @@
         }
         self.has_any.store(!table.is_empty(), Ordering::Release);
         let held = table.held().len();
+        self.has_held.store(held > 0, Ordering::Release);
         let held_parts = table.held().iter().filter(|key| key.part().is_some());
         let held_parts = held_parts.count();
         let as_gauge = |count| i64::try_from(count).unwrap_or(i64::MAX);
