Gateway: choose an endpoint in one pass, and accept callers in one function

The list of endpoints was collected twice and scanned once more for the version of a stream, the engine of a request looked up twice, and accept_last_caller repeated accept_caller but for the limit of refusals. No change of behaviour; the tests of versions, backoffs, stops and refusals pass as they are.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -420,22 +420,32 @@
         };
         shared.overload().record_connection();
         shared.apply_overload();
-        accept_caller(stream, &shared, &drain);
+        accept_caller(stream, &shared, &drain, Connections::try_refuse);
     }
     if let Some(listener) = listener.into_inner() {
         close_listener(listener, |stream, _remote| {
-            accept_last_caller(stream, &shared, &drain);
+            // All are accepted in one step, in which no refusal ends, so the limit of refusals would close some of them.
+            accept_caller(stream, &shared, &drain, |connections| {
+                connections.refuse();
+                true
+            });
         });
     }
     drain.finish().await;
 }
 
-/// Serves a caller's connection if it is within the limit of open connections.
-fn accept_caller(stream: TcpStream, shared: &Arc<Shared>, drain: &Drain) {
+/// Serves a caller's connection if it is within the limit of open connections, refuses its request if `may_refuse` allows that, and
+/// closes it otherwise.
+fn accept_caller(
+    stream: TcpStream,
+    shared: &Arc<Shared>,
+    drain: &Drain,
+    may_refuse: impl FnOnce(&Connections) -> bool,
+) {
     shared.metrics.connections.inc();
     if shared.connections.try_open() {
         serve_caller(stream, shared, drain.guard());
-    } else if shared.connections.try_refuse() {
+    } else if may_refuse(&shared.connections) {
         shared.metrics.connections_refused.inc();
         refuse_caller(stream, shared, drain.guard());
     } else {
@@ -443,20 +453,6 @@
     }
 }
 
-/// Serves a caller's connection that was pending when the gateway stopped, or refuses its request if it is beyond the limit.
-///
-/// All are accepted in one step, in which no refusal ends, so the limit of refusals would close some of them.
-fn accept_last_caller(stream: TcpStream, shared: &Arc<Shared>, drain: &Drain) {
-    shared.metrics.connections.inc();
-    if shared.connections.try_open() {
-        serve_caller(stream, shared, drain.guard());
-    } else {
-        shared.connections.refuse();
-        shared.metrics.connections_refused.inc();
-        refuse_caller(stream, shared, drain.guard());
-    }
-}
-
 /// Refuses the request on a connection beyond the limit.
 fn refuse_caller(stream: TcpStream, shared: &Arc<Shared>, guard: DrainGuard) {
     let shared = Arc::clone(shared);
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -82,6 +82,15 @@
     Refused(Refusal),
 }
 
+/// The choice of an endpoint for one attempt.
+enum Choice {
+    Endpoint(Arc<Endpoint>),
+    /// None takes requests now, or none that has not been tried.
+    NoneAvailable,
+    /// None has the software version that began the stream.
+    VersionGone,
+}
+
 impl Job {
     /// Returns whether a planned stop of this instance would cut the answer off, so that the caller had better retry elsewhere.
     pub(crate) fn outlasts_stop(&self) -> bool {
@@ -140,12 +149,13 @@
             if let Some(refusal) = self.held_refusal(history) {
                 return JobOutcome::Refused(refusal);
             }
-            if !self.has_version(history) {
-                return JobOutcome::Refused(history.version_gone());
-            }
-            let Some(endpoint) = self.pick_endpoint(history) else {
-                let retry_after = history.retry_after.unwrap_or(NO_ENDPOINT_RETRY);
-                return JobOutcome::Refused(history.refusal(retry_after));
+            let endpoint = match self.pick_endpoint(history) {
+                Choice::Endpoint(endpoint) => endpoint,
+                Choice::NoneAvailable => {
+                    let retry_after = history.retry_after.unwrap_or(NO_ENDPOINT_RETRY);
+                    return JobOutcome::Refused(history.refusal(retry_after));
+                }
+                Choice::VersionGone => return JobOutcome::Refused(history.version_gone()),
             };
             let grant = match self.admit(&endpoint, history).await {
                 AskOutcome::Granted(grant) => {
@@ -416,26 +426,17 @@
         (source != endpoint.description.address).then_some(source)
     }
 
-    /// Returns whether an endpoint that takes requests may run this one, given the software version of its stream.
-    fn has_version(&self, history: &History) -> bool {
-        let snapshot = self.gateway.routing.current();
-        let listed = snapshot.of_service(&self.service);
-        let mut listed = listed.iter().filter(|endpoint| !endpoint.is_draining());
-        history.stream_origin.is_none() || listed.any(|endpoint| history.allows(endpoint))
-    }
-
     /// Chooses an endpoint, preferably one that was not tried and is not ejected by its circuit breaker.
-    fn pick_endpoint(&self, history: &mut History) -> Option<Arc<Endpoint>> {
+    fn pick_endpoint(&self, history: &mut History) -> Choice {
         // The current list, not that of the request's arrival: endpoints may have left or started since then.
         let snapshot = self.gateway.routing.current();
         let listed = snapshot.of_service(&self.service);
-        let listed = listed.iter().filter(|endpoint| !endpoint.is_draining());
-        let listed: SmallVec<[&Arc<Endpoint>; 16]> =
-            listed.filter(|endpoint| history.allows(endpoint)).collect();
+        let listed = listed
+            .iter()
+            .filter(|endpoint| !endpoint.is_draining() && history.allows(endpoint));
         // A requested pause is binding: no request goes to such an endpoint, even if no other is left.
         let mut shortest_backoff: Option<Duration> = None;
         let listed: SmallVec<[&Arc<Endpoint>; 16]> = listed
-            .into_iter()
             .filter(|endpoint| {
                 let backoff = endpoint.backoff_left();
                 let backoffs = backoff.into_iter().chain(shortest_backoff);
@@ -444,8 +445,11 @@
             })
             .collect();
         if listed.is_empty() {
+            if shortest_backoff.is_none() && history.stream_origin.is_some() {
+                return Choice::VersionGone;
+            }
             history.record_backoff(shortest_backoff);
-            return None;
+            return Choice::NoneAvailable;
         }
         let is_new = |endpoint: &Arc<Endpoint>| {
             let mut known = history
@@ -487,9 +491,12 @@
                 limits,
                 draw,
             )
-        }?;
+        };
+        let Some(index) = index else {
+            return Choice::NoneAvailable;
+        };
         history.running = candidates[index].running;
         history.load_age_ms = ages[index];
-        Some(Arc::clone(usable[index]))
+        Choice::Endpoint(Arc::clone(usable[index]))
     }
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -136,7 +136,10 @@
     let origin_lookup = found_at.elapsed();
     let stream_origin = found.as_ref().ok().and_then(Option::as_ref);
     let service = stream_origin.map_or(service, |origin| origin.service.clone());
-    let engine = engine_of(&snapshot, &service);
+    let engine = match stream_origin {
+        Some(_) => engine_of(&snapshot, &service),
+        None => engine,
+    };
     let job = Arc::new(Job {
         outgoing,
         gateway,
