--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -26,7 +26,9 @@
 use crate::route::StateCell;
 use crate::routing_calls::RoutingCalls;
 use crate::settings::ControlSettings;
-use crate::{follow, join, operator_calls, peer_calls, routing_calls, suspect_calls};
+use crate::{
+    evacuation_calls, follow, join, operator_calls, peer_calls, routing_calls, suspect_calls,
+};
 
 /// Tick interval of the soft state; a membership change is published at the next tick.
 const TICK: Duration = Duration::from_millis(100);
@@ -133,6 +135,7 @@
         let router = operator_calls::add(router, &Arc::new(operators), &state_cell);
         let router = routing_calls::add(router, &key, &state_cell);
         let router = suspect_calls::add(router, &key, &state_cell);
+        let router = evacuation_calls::add(router, &key, &state_cell);
         let router = extend(router, RoutingCalls::new(&state_cell));
         let server = Server::bind(&settings.listen, router, Limits::default())
             .await
--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -4,6 +4,7 @@
 //! sync, and an idle instance answers at once. No disk I/O runs on the threads of the async tasks.
 
 mod diskless;
+mod format;
 mod joining;
 #[cfg(test)]
 mod tests;
@@ -138,6 +139,8 @@
     /// Incarnations of control instances that are or were members.
     pub(crate) known_incarnations: BTreeSet<NodeId>,
     pub(crate) routing: Routing,
+    /// Format of the log.
+    pub(crate) format: u32,
     /// Addresses of the control instances that are recorded in the log.
     pub(crate) control_addresses: Vec<Box<str>>,
     /// Addresses of the instances from which a message arrived since this process started.
@@ -215,6 +218,8 @@
             peers,
             seen_peers: BTreeSet::new(),
             diskless_peers: BTreeSet::new(),
+            peer_formats: BTreeMap::new(),
+            format_proposed_in: None,
             pending_proposals: BTreeMap::new(),
             pending_reads: BTreeMap::new(),
             next_read_id: 0,
@@ -332,6 +337,7 @@
         open_orders: state.orders().open().cloned().collect(),
         known_incarnations: state.control().keys().chain(seen_peers).copied().collect(),
         routing: state.routing().clone(),
+        format: state.format(),
         control_addresses: state
             .control()
             .values()
--- a/crates/control/src/driver/tests.rs
+++ b/crates/control/src/driver/tests.rs
@@ -9,6 +9,7 @@
 use hinge_cases::cases;
 use hinge_raft::{AppendResult, Body, Config, Membership, Message, Node, PersistentState};
 
+use super::format::knows_format;
 use super::thread::{lease_until_us, take_output_and_send};
 
 /// A time past the delay before a restarted node votes and the longest election timeout.
@@ -60,6 +61,14 @@
 }
 
 cases! {
+    // Guards against a quorum of an earlier version that stops at an entry which it doesn't know.
+    the_format_waits_for_members_of_an_earlier_version => {
+        assert!(knows_format(Some(1), false));
+        assert!(!knows_format(Some(0), false));
+        assert!(!knows_format(Some(0), true), "it may come back with the earlier version");
+        assert!(!knows_format(None, false));
+        assert!(knows_format(None, true), "a lost member must not hold up the others");
+    }
     an_ended_lease_is_published_before_the_successor_is_asked => {
         let mut node = leader();
         let published_until_us = AtomicU64::new(lease_until_us(&node));
--- a/crates/control/src/driver/tests/stalled.rs
+++ b/crates/control/src/driver/tests/stalled.rs
@@ -80,6 +80,7 @@
         from,
         address: LEADER.into(),
         diskless: false,
+        format: 0,
         messages: vec![heartbeat],
     };
     assert!(core.driver.receive(batch), "the log accepts messages");
--- a/crates/control/src/driver/thread.rs
+++ b/crates/control/src/driver/thread.rs
@@ -36,6 +36,10 @@
     pub(super) seen_peers: BTreeSet<NodeId>,
     /// Those of `seen_peers` that announced that they store the log in memory only.
     pub(super) diskless_peers: BTreeSet<NodeId>,
+    /// Highest format of the log that each of `seen_peers` knows, as it announced last.
+    pub(super) peer_formats: BTreeMap<NodeId, u32>,
+    /// Term in which this instance proposed to raise the format.
+    pub(super) format_proposed_in: Option<Term>,
     pub(super) pending_proposals: BTreeMap<(Term, Index), ReplySender>,
     pub(super) pending_reads: BTreeMap<ReadId, ReadCallback>,
     pub(super) next_read_id: ReadId,
@@ -102,6 +106,7 @@
                 self.node.tick(now);
                 self.record_founders(now);
                 self.remove_diskless_voters(now);
+                self.raise_format(now);
             }
             self.process_output()?;
             if self.may_stop() {
@@ -142,6 +147,7 @@
         if self.seen_peers.insert(batch.from) {
             self.is_view_stale = true;
         }
+        self.peer_formats.insert(batch.from, batch.format);
         if batch.diskless {
             self.diskless_peers.insert(batch.from);
         }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -13,6 +13,7 @@
 mod directory;
 mod downstream;
 mod driver;
+mod evacuation_calls;
 mod follow;
 mod join;
 mod metrics;
@@ -34,12 +35,14 @@
 mod upgrade;
 
 pub use control::{Control, StopOutcome};
+pub use evacuation_calls::EvacuationError;
 pub use open::OpenError;
 pub use operators::{OperatorKeys, OperatorKeysError};
 pub use peer_client::{Dial, Direct};
 pub use relay::Relay;
 pub use routing_calls::{
-    EndpointReportOutcome, MEET_GATEWAYS_PATH, RoutingCalls, RoutingUnavailable, WATCH_ROUTES_PATH,
+    EndpointReportOutcome, MEET_GATEWAYS_PATH, PutTableError, RoutingCalls, RoutingUnavailable,
+    WATCH_ROUTES_PATH,
 };
 pub use settings::{ControlSettings, Peer, RelaySettings};
 pub use suspect_calls::{NOTE_SUSPECTS_PATH, TRY_PARTS_PATH};
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hinge_raft::{Message, NodeId};
+use hinge_state::LOG_FORMAT;
 use serde::{Deserialize, Serialize};
 use tokio::runtime::Handle;
 use tokio::sync::mpsc;
@@ -32,6 +33,9 @@
     /// Whether the sender stores the log in memory only.
     #[serde(default)]
     pub(crate) diskless: bool,
+    /// Highest format of the log that the sender knows; 0 in versions before formats.
+    #[serde(default)]
+    pub(crate) format: u32,
     /// Messages, in order.
     pub(crate) messages: Vec<Message>,
 }
@@ -125,6 +129,7 @@
             from: sender.node_id,
             address: sender.address.clone(),
             diskless: sender.diskless,
+            format: LOG_FORMAT,
             messages: std::mem::take(&mut messages),
         };
         let sent = client
--- a/crates/control/src/routing_calls.rs
+++ b/crates/control/src/routing_calls.rs
@@ -8,10 +8,11 @@
 use std::time::Duration;
 
 use hinge_link::ClusterKey;
+use hinge_routing::{TableError, check_homes, has_homes};
 use hinge_schema::routing::{
-    AskTable, CurrentTable, Endpoint, EndpointReply, MeetGateways, NearbyGateways, PutTable,
-    PutTableReply, ReportEndpoint, RetireEndpoint, RouteTable, RoutesUpdate, SuspectList,
-    WatchRoutes,
+    AskTable, CurrentTable, Endpoint, EndpointList, EndpointReply, EvacuationList, MeetGateways,
+    NearbyGateways, PutTable, PutTableReply, ReportEndpoint, RetireEndpoint, RouteTable,
+    RoutesUpdate, SuspectList, WatchRoutes,
 };
 use hinge_state::{Command, EndpointCommand, Incarnation, Reply, Routing};
 use hinge_telemetry::log::Component;
@@ -21,6 +22,7 @@
 use viz::Router;
 
 use crate::core::{Core, Leadership};
+use crate::driver::View;
 use crate::peer_calls::{add_leader_call, answer_or_forward};
 use crate::route::{self, StateCell};
 
@@ -35,6 +37,12 @@
 const CONTRADICTORY_REPORT: &str =
     "it contradicts what the same start of the endpoint has said of itself";
 
+/// Format of the log from which it holds repeated warm-ups of an endpoint.
+const MIN_REPEATED_WARM_UP_FORMAT: u32 = 1;
+
+/// Format of the log from which every member keeps the homes of routes and teams.
+const MIN_HOMES_FORMAT: u32 = 1;
+
 /// Path on which a gateway learns the addresses of others in its data centre.
 pub const MEET_GATEWAYS_PATH: &str = "/v1/gateways/meet";
 
@@ -55,6 +63,26 @@
 
 impl std::error::Error for RoutingUnavailable {}
 
+/// The error for a route table that was not put in force, as far as known.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PutTableError {
+    /// It is not valid for this fleet.
+    Invalid(TableError),
+    /// It is unknown whether it was accepted; it is safe to send again.
+    Unavailable(RoutingUnavailable),
+}
+
+impl fmt::Display for PutTableError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Invalid(cause) => cause.fmt(f),
+            Self::Unavailable(cause) => cause.fmt(f),
+        }
+    }
+}
+
+impl std::error::Error for PutTableError {}
+
 /// The outcome of an endpoint's report that reached the leader.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum EndpointReportOutcome {
@@ -81,10 +109,13 @@
     ///
     /// # Errors
     ///
-    /// Returns an error when it is unknown whether the table was accepted.
-    pub async fn put_table(&self, table: RouteTable) -> Result<u64, RoutingUnavailable> {
+    /// Returns an error when a home is in an unknown region, or when it is unknown whether the table was accepted.
+    pub async fn put_table(&self, table: RouteTable) -> Result<u64, PutTableError> {
+        let core = self.core().map_err(PutTableError::Unavailable)?;
+        check_homes(&table, &core.settings.data_centers).map_err(PutTableError::Invalid)?;
         let message = PutTable { table };
-        let answered = answer_or_forward(self.core()?, PUT_TABLE, message, put_as_leader).await;
+        let answered = answer_or_forward(core, PUT_TABLE, message, put_as_leader).await;
+        let unavailable = |status| PutTableError::Unavailable(unavailable(status));
         let held: PutTableReply = answered.map_err(unavailable)?;
         Ok(held.number)
     }
@@ -151,7 +182,7 @@
         Ok(())
     }
 
-    fn core(&self) -> Result<Arc<Core>, RoutingUnavailable> {
+    pub(crate) fn core(&self) -> Result<Arc<Core>, RoutingUnavailable> {
         self.core.get().cloned().ok_or(RoutingUnavailable)
     }
 }
@@ -176,6 +207,14 @@
 
 async fn put_as_leader(core: Arc<Core>, message: PutTable) -> Result<PutTableReply, StatusCode> {
     let asked = message.table.number;
+    if has_homes(&message.table) && core.driver.view.load().format < MIN_HOMES_FORMAT {
+        info!(
+            Component::Control,
+            "Could not take a route table: an instance of an earlier version would drop its homes.",
+            number = asked
+        );
+        return Err(UNAVAILABLE);
+    }
     let command = Command::PutTable(Box::new(message.table));
     match core.propose(command).await {
         Ok(Reply::TableNumber(number)) => {
@@ -205,10 +244,14 @@
 }
 
 async fn ask_as_leader(core: Arc<Core>, _message: AskTable) -> Result<CurrentTable, StatusCode> {
-    let asked = core.read(|state, _status| state.routing().table().cloned());
-    let table = asked.await.map_err(|_refused| UNAVAILABLE)?;
+    let asked = core.read(|state, _status| {
+        let routing = state.routing();
+        (routing.table().cloned(), routing.evacuations().list())
+    });
+    let (table, evacuations) = asked.await.map_err(|_refused| UNAVAILABLE)?;
     Ok(CurrentTable {
         table: table.map(Arc::unwrap_or_clone),
+        evacuations: Some(evacuations),
     })
 }
 
@@ -236,7 +279,7 @@
     if !routing.is_outdated(&endpoint) {
         core.soft().heard.record(core.now(), &endpoint.id);
     }
-    if routing.is_change(&endpoint) {
+    if routing.is_change(&endpoint) || warms_up_again(&core, &view, &endpoint) {
         info!(
             Component::Control,
             "An endpoint reports news.",
@@ -245,6 +288,7 @@
             service = endpoint.service,
             address = endpoint.address,
             state = endpoint.state,
+            warm_up_ms = endpoint.warm_up_ms,
             sequence = endpoint.sequence
         );
         change(&core, EndpointCommand::Report(endpoint)).await?;
@@ -252,6 +296,17 @@
     Ok(noted(&core))
 }
 
+/// Returns whether a report tells of a warm-up that the log doesn't hold yet.
+fn warms_up_again(core: &Core, view: &View, report: &Endpoint) -> bool {
+    if report.warm_up_ms == 0 || view.format < MIN_REPEATED_WARM_UP_FORMAT {
+        return false;
+    }
+    let now = core.now();
+    let warm_ups = &mut core.soft().warm_ups;
+    warm_ups.note(now, &view.routing);
+    view.routing.may_warm_up_again(report) && warm_ups.is_news(now, report)
+}
+
 async fn retire(core: Arc<Core>, message: RetireEndpoint) -> Result<EndpointReply, StatusCode> {
     answer_or_forward(core, RETIRE, message, retire_as_leader).await
 }
@@ -328,7 +383,11 @@
             return Err(UNAVAILABLE);
         }
         let update = update(&core, &message);
-        if update.table.is_some() || update.endpoints.is_some() || update.suspects.is_some() {
+        let has_changes = update.table.is_some()
+            || update.endpoints.is_some()
+            || update.suspects.is_some()
+            || update.evacuations.is_some();
+        if has_changes {
             return Ok(update);
         }
         match timeout_at(deadline, published.changed()).await {
@@ -373,8 +432,9 @@
     let view = core.driver.view.load();
     Ok(RoutesUpdate {
         table: current.table.map(|table| without_document(&table)),
-        endpoints: Some(view.routing.list()),
+        endpoints: Some(endpoint_list(&core, &view.routing)),
         suspects: newer_suspects(&view.routing, message),
+        evacuations: current.evacuations,
         control: view.control_addresses.clone(),
         gateways: other_gateways(&core, message),
     })
@@ -396,13 +456,31 @@
     let are_endpoints_newer = routing.endpoints_version() > message.endpoints_version;
     RoutesUpdate {
         table: table.map(|table| without_document(table)),
-        endpoints: are_endpoints_newer.then(|| routing.list()),
+        endpoints: are_endpoints_newer.then(|| endpoint_list(core, routing)),
         suspects: newer_suspects(routing, message),
+        evacuations: newer_evacuations(routing, message),
         control: view.control_addresses.clone(),
         gateways: other_gateways(core, message),
     }
 }
 
+/// Returns the list of endpoints, with the warm-up times that are left now.
+fn endpoint_list(core: &Core, routing: &Routing) -> EndpointList {
+    let now = core.now();
+    let mut list = routing.list();
+    let warm_ups = &mut core.soft().warm_ups;
+    warm_ups.note(now, routing);
+    warm_ups.count_down(now, &mut list);
+    list
+}
+
+fn newer_evacuations(routing: &Routing, message: &WatchRoutes) -> Option<EvacuationList> {
+    // Versions that don't know evacuations send no version.
+    let known = message.evacuations_version?;
+    let evacuations = routing.evacuations();
+    (evacuations.version() > known).then(|| evacuations.list())
+}
+
 fn newer_suspects(routing: &Routing, message: &WatchRoutes) -> Option<SuspectList> {
     // Versions that don't know suspected requests send no version.
     let held = message.suspects_version?;
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use hinge_routing::DataCenters;
 use hinge_state::LeaseLimits;
 
 /// A control instance that takes part in the first start.
@@ -47,6 +48,8 @@
     pub watch_timeout: Duration,
     /// Bounds of the members' leases.
     pub member_rules: LeaseLimits,
+    /// All data centres with their regions; with none, every data centre is known.
+    pub data_centers: DataCenters,
 }
 
 impl ControlSettings {
@@ -68,9 +71,16 @@
             max_log_bytes: 2 << 20,
             watch_timeout: Duration::from_secs(30),
             member_rules: LeaseLimits::default(),
+            data_centers: DataCenters::default(),
         }
     }
 
+    /// Returns whether there is a data centre of this name, as far as the settings tell.
+    #[must_use]
+    pub fn has_data_center(&self, name: &str) -> bool {
+        self.data_centers.is_empty() || self.data_centers.region(name).is_some()
+    }
+
     /// Returns whether the log is kept in memory only.
     #[must_use]
     pub fn is_diskless(&self) -> bool {
--- a/crates/control/src/soft_state.rs
+++ b/crates/control/src/soft_state.rs
@@ -6,7 +6,7 @@
 use hinge_fair::Totals;
 use hinge_schema::messages::{DrainRecord, MembersDelta, ServiceReport, ServiceTotals, Watch};
 use hinge_state::roster::Adopted;
-use hinge_state::{InstanceName, LastReports, LeaseLimits, Members, Roster, service};
+use hinge_state::{InstanceName, LastReports, LeaseLimits, Members, Roster, WarmUps, service};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
@@ -48,6 +48,7 @@
     pub(crate) totals: BTreeMap<Box<str>, Totals>,
     /// When each endpoint last reported.
     pub(crate) heard: LastReports,
+    pub(crate) warm_ups: WarmUps,
     /// Count of endpoint reports that this instance refused.
     pub(crate) refused_reports: RefusedReports,
     /// Gateways that watch this instance.
@@ -67,6 +68,7 @@
             followed: Roster::default(),
             totals: BTreeMap::new(),
             heard: LastReports::default(),
+            warm_ups: WarmUps::default(),
             refused_reports: RefusedReports::default(),
             watchers: GatewayDirectory::new(WATCHER_TTL, MAX_WATCHERS_RETURNED),
             nearby: BTreeMap::new(),
--- a/crates/control/tests/roles/fleet.rs
+++ b/crates/control/tests/roles/fleet.rs
@@ -249,6 +249,7 @@
             table_number: number - 1,
             endpoints_version: u64::MAX,
             suspects_version: None,
+            evacuations_version: None,
             wait_ms: 100,
         };
         let watched = self
--- a/crates/control/tests/roles/main.rs
+++ b/crates/control/tests/roles/main.rs
@@ -2,6 +2,7 @@
 
 mod control;
 mod diskless;
+mod evacuations;
 mod fleet;
 mod partition;
 mod relay;
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -7,6 +7,7 @@
 use anyhow::{Context as _, Result, bail};
 use hinge_config::secret::Secret;
 use hinge_link::{Client, ClusterKey, CounterKind, Direction, MessageClass, Traffic};
+use hinge_routing::DataCenters;
 use hinge_schema::messages::{Announce, Role};
 use hinge_schema::settings::Settings;
 use hinge_telemetry::admin::Admin;
@@ -104,6 +105,12 @@
         control_addresses(&self.settings)
     }
 
+    /// Returns all data centres with their regions.
+    pub(crate) fn data_centers(&self) -> DataCenters {
+        let regions = self.settings.data_centers.iter();
+        DataCenters::new(regions.map(|(name, region)| (name.as_str().into(), region.clone())))
+    }
+
     /// Returns the announcement of this process, without what only an endpoint announces.
     pub(crate) fn announce(&self, role: Role, peer_address: &str) -> Announce {
         let advertised = self
--- a/crates/daemon/src/roles/control.rs
+++ b/crates/daemon/src/roles/control.rs
@@ -91,6 +91,7 @@
         snapshot_every_entries: section.snapshot_every_entries,
         max_log_bytes: usize::try_from(section.max_log_bytes).unwrap_or(usize::MAX),
         watch_timeout: super::millis(section.watch_timeout_ms),
+        data_centers: context.data_centers(),
         ..ControlSettings::new(
             &instance,
             &common.cluster_id,
--- a/crates/daemon/src/roles/gateway.rs
+++ b/crates/daemon/src/roles/gateway.rs
@@ -33,6 +33,8 @@
     let settings = GatewaySettings {
         instance: context.settings.instance.clone(),
         data_center: context.settings.data_center.clone(),
+        data_centers: context.data_centers(),
+        max_state_age: super::millis(section.max_state_age_ms),
         listen: section.listen,
         ready_listen: section.ready_listen,
         control,
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -69,6 +69,8 @@
     Refused { retry_after: Duration },
     /// The engine has ended, so nothing is granted there.
     EngineGone,
+    /// The data centre of the endpoint was evacuated while the request waited.
+    Evacuated,
 }
 
 /// A granted slot, which dropping it frees.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -137,7 +137,8 @@
             Err(_elapsed) => return AttemptOutcome::NotSent,
         },
     };
-    if in_use.is_grant_outdated() {
+    // Connecting may have taken long.
+    if in_use.is_grant_outdated() || endpoint.is_evacuated() {
         endpoint.pool.keep(sender, None);
         return AttemptOutcome::NotSent;
     }
--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -89,6 +89,8 @@
     /// Client of the admission beside it, if there is one.
     pub(crate) admission: Option<AdmissionClient>,
     is_draining: AtomicBool,
+    /// Whether its data centre is evacuated, so that it gets no more requests.
+    is_evacuated: watch::Sender<bool>,
     /// Whether it has restarted, so that no request that was sent to it runs any more.
     has_restarted: watch::Sender<bool>,
     began: Instant,
@@ -112,6 +114,7 @@
             hash: hash(&description.id),
             incarnation: incarnation(&description),
             is_draining: AtomicBool::new(false),
+            is_evacuated: watch::Sender::new(false),
             has_restarted: watch::Sender::new(false),
             description,
             pool: Pool::new(MAX_IDLE),
@@ -268,6 +271,30 @@
             && state.breaker.allows_request(self.began.elapsed())
     }
 
+    /// Records whether its data centre is evacuated.
+    pub(crate) fn set_evacuated(&self, is_evacuated: bool) {
+        self.is_evacuated.send_if_modified(|known| {
+            let is_new = *known != is_evacuated;
+            *known = is_evacuated;
+            is_new
+        });
+    }
+
+    /// Returns whether its data centre is evacuated.
+    pub(crate) fn is_evacuated(&self) -> bool {
+        *self.is_evacuated.borrow()
+    }
+
+    /// Waits until its data centre is evacuated.
+    pub(crate) async fn wait_until_evacuated(&self) {
+        let mut is_evacuated = self.is_evacuated.subscribe();
+        let reported = is_evacuated
+            .wait_for(|is_evacuated| *is_evacuated)
+            .await
+            .is_ok();
+        assert!(reported, "the sender is held here");
+    }
+
     /// Records for how much longer it warms up, as just reported; a later end that is known stays.
     pub(crate) fn record_warm_up(&self, left: Duration) {
         let until = self.began.elapsed() + left;
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -34,11 +34,20 @@
 /// Minimum interval between log lines while no control instance answers.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The settings with which a gateway follows control.
+#[derive(Debug)]
+pub(crate) struct FollowSettings {
+    pub(crate) instance: Box<str>,
+    /// Address at which this gateway answers calls of others.
+    pub(crate) peer_address: SocketAddr,
+    /// Time without control after which this gateway is no longer ready.
+    pub(crate) max_state_age: Duration,
+}
+
 /// Long-polls control until the task is aborted.
 pub(crate) async fn run(
     client: Client,
-    instance: Box<str>,
-    peer_address: SocketAddr,
+    settings: FollowSettings,
     seeds: watch::Receiver<Vec<Box<str>>>,
     routing: Arc<RoutingState>,
     readiness: Arc<Readiness>,
@@ -49,7 +58,7 @@
     let mut logged_at = Instant::now();
     loop {
         let was_followed = targets.is_following();
-        let query = current_query(&instance, &peer_address, &routing);
+        let query = current_query(&settings, &routing);
         let to_query = targets.to_query();
         routing.control.store(Arc::new(to_query.to_vec()));
         let queried = query_any(&client, &query, &to_query);
@@ -74,6 +83,7 @@
                 peer_updates.set_addresses(update.gateways.clone());
                 let has_table = routing.apply(update);
                 routing.confirm();
+                readiness.clear(Reason::Outdated);
                 if has_table {
                     readiness.clear(Reason::NoConfig);
                 } else {
@@ -82,6 +92,9 @@
             }
             Err(cause) => {
                 targets.record_failure(&seeds.borrow());
+                if without >= settings.max_state_age {
+                    readiness.set(Reason::Outdated);
+                }
                 if was_followed || logged_at.elapsed() >= LOG_INTERVAL {
                     logged_at = Instant::now();
                     warn!(
@@ -105,14 +118,15 @@
 }
 
 /// Returns the query for everything newer than the current state.
-fn current_query(instance: &str, peer_address: &SocketAddr, routing: &RoutingState) -> WatchRoutes {
+fn current_query(settings: &FollowSettings, routing: &RoutingState) -> WatchRoutes {
     let snapshot = routing.current();
     WatchRoutes {
-        instance: instance.into(),
-        peer_address: Some(peer_address.to_string().into()),
+        instance: settings.instance.clone(),
+        peer_address: Some(settings.peer_address.to_string().into()),
         table_number: snapshot.table_number(),
         endpoints_version: snapshot.endpoints_version(),
         suspects_version: Some(routing.suspects.version()),
+        evacuations_version: Some(snapshot.evacuations.version),
         wait_ms: millis(WATCH_WAIT),
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,8 +12,8 @@
     Client, ClusterKey, Drain, DrainGuard, Limits, Server, ServerHandle, close_listener,
 };
 use hinge_routing::{
-    CachedPrefixes, ChoiceRules, Holders, IncarnationHash, OverloadControl, OverloadRules,
-    RetryBudget, RetryBudgetRules,
+    CachedPrefixes, ChoiceRules, DataCenters, Holders, IncarnationHash, OverloadControl,
+    OverloadRules, RetryBudget, RetryBudgetRules,
 };
 use hinge_schema::routing::MeetGateways;
 use hinge_telemetry::info;
@@ -36,7 +36,7 @@
 use crate::dedicated_thread::DedicatedThread;
 use crate::dialect::Dialect;
 use crate::endpoint::Endpoint;
-use crate::follow;
+use crate::follow::{self, FollowSettings};
 use crate::gateway_count::GatewayCount;
 use crate::handoff::Handoffs;
 use crate::listener::CallerListener;
@@ -74,6 +74,10 @@
     pub instance: Box<str>,
     /// Data centre of the instance.
     pub data_center: Box<str>,
+    /// All data centres with their regions.
+    pub data_centers: DataCenters,
+    /// Time without word from control after which the instance takes no new connections, as far as others do.
+    pub max_state_age: Duration,
     /// Address for callers.
     pub listen: SocketAddr,
     /// Address on which the load balancer checks readiness.
@@ -105,6 +109,7 @@
     pub(crate) routing: Arc<RoutingState>,
     pub(crate) metrics: Metrics,
     pub(crate) data_center: Box<str>,
+    pub(crate) data_centers: DataCenters,
     pub(crate) choice: ChoiceRules,
     pub(crate) max_spill_tokens: u32,
     pub(crate) connections: Connections,
@@ -257,6 +262,7 @@
             routing: Arc::clone(&routing),
             metrics: Metrics::register(registry),
             data_center: settings.data_center.clone(),
+            data_centers: settings.data_centers.clone(),
             choice: settings.choice,
             max_spill_tokens: settings.max_spill_tokens,
             connections: Connections::new(settings.max_connections),
@@ -296,8 +302,11 @@
         let following = follow_control(
             // A client of its own, because its connections are served on the dedicated thread.
             Client::new(key),
-            settings.instance,
-            ready_address,
+            FollowSettings {
+                instance: settings.instance,
+                peer_address: ready_address,
+                max_state_age: settings.max_state_age,
+            },
             seed_changes,
             Arc::clone(&shared),
             Arc::clone(&readiness),
@@ -381,8 +390,7 @@
 /// Follows control and reports to it until the future is dropped.
 async fn follow_control(
     client: Client,
-    instance: Box<str>,
-    peer_address: SocketAddr,
+    settings: FollowSettings,
     seeds: watch::Receiver<Vec<Box<str>>>,
     shared: Arc<Shared>,
     readiness: Arc<Readiness>,
@@ -390,12 +398,12 @@
 ) {
     let routing = Arc::clone(&shared.routing);
     let table_age_ms = shared.metrics.table_age_ms.clone();
+    let instance = settings.instance.clone();
     let reporting = suspect_reports::run(client.clone(), instance.clone(), Arc::clone(&routing));
-    let trials = part_trials::run(client.clone(), instance.clone(), Arc::clone(&routing));
+    let trials = part_trials::run(client.clone(), instance, Arc::clone(&routing));
     let following = follow::run(
         client.clone(),
-        instance,
-        peer_address,
+        settings,
         seeds,
         routing,
         readiness,
--- a/crates/gateway/src/gateway/tests.rs
+++ b/crates/gateway/src/gateway/tests.rs
@@ -9,7 +9,7 @@
 
 use hinge_cases::async_cases;
 use hinge_link::ClusterKey;
-use hinge_routing::{ChoiceRules, OverloadRules, RetryBudgetRules};
+use hinge_routing::{ChoiceRules, DataCenters, OverloadRules, RetryBudgetRules};
 use hinge_telemetry::metrics::Registry;
 use http::{HeaderMap, StatusCode};
 use tokio::io::AsyncReadExt;
@@ -69,6 +69,7 @@
         routing: Arc::new(RoutingState::new(None, Suspects::register(&registry))),
         metrics: Metrics::register(&registry),
         data_center: "here".into(),
+        data_centers: DataCenters::default(),
         choice: ChoiceRules::default(),
         max_spill_tokens: 3_000,
         connections: Connections::new(max_connections),
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use hinge_routing::{
-    BacklogLimits, Candidate, Holders, KvSource, Prompt, RequestKey, StreamKey, StreamOrigin,
-    UsageLag, WarmUpLimits, choose_after_refusal, choose_endpoint, choose_kv_source,
+    BacklogLimits, Candidate, Holders, Homes, KvSource, Prompt, RequestKey, StreamKey,
+    StreamOrigin, UsageLag, WarmUpLimits, choose_after_refusal, choose_endpoint, choose_kv_source,
     token_copy_time,
 };
 use hinge_schema::routing::{AdmitAsk, AskWarmUp, Engine, Route, WarmUp};
@@ -14,7 +14,7 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
-use crate::admission::AskOutcome;
+use crate::admission::{AskOutcome, Grant};
 use crate::attempt::{self, Answer, AttemptOutcome, OutgoingRequest};
 use crate::endpoint::Endpoint;
 use crate::gateway::Shared;
@@ -72,6 +72,7 @@
     /// Description of the service's model engines, if its endpoints are engines.
     pub(crate) engine: Option<Engine>,
     pub(crate) rank: u32,
+    pub(crate) homes: Homes,
     pub(crate) origin: Origin,
     /// Counts the request against the overload limits; `None` for plain requests.
     pub(crate) _running: Option<RunningRequest>,
@@ -93,6 +94,15 @@
     VersionGone,
 }
 
+/// The outcome of a request for a slot at an endpoint.
+enum Slot {
+    /// The request may be sent there, with a grant if its admission has given one.
+    Free(Option<Grant>),
+    /// The request can't be sent there, but maybe elsewhere.
+    TryAnother,
+    Refused(Refusal),
+}
+
 impl Job {
     /// Returns whether a planned stop of this instance would cut the answer off, so that the caller had better retry elsewhere.
     pub(crate) fn outlasts_stop(&self) -> bool {
@@ -159,42 +169,20 @@
                 }
                 Choice::VersionGone => return JobOutcome::Refused(history.version_gone()),
             };
-            let grant = match self.admit(&endpoint, history).await {
-                AskOutcome::Granted(grant) => {
-                    history.waited_ms = grant.waited_ms;
-                    history.ahead_tokens = grant.ahead_tokens;
-                    Some(grant)
-                }
-                AskOutcome::Unasked if self.may_send_ungranted(&endpoint) => None,
-                AskOutcome::Unasked => {
-                    history.cause = "the endpoint warms up";
-                    history.warming_up.push(endpoint);
-                    continue;
-                }
-                AskOutcome::EngineGone => {
-                    history.cause = "the engine is gone";
-                    history.gone.push(endpoint);
-                    if history.gone.len() >= MAX_GONE_ENGINES {
-                        return JobOutcome::Refused(history.refusal(NO_ENDPOINT_RETRY));
-                    }
-                    continue;
-                }
-                AskOutcome::Refused { retry_after } => {
-                    history.cause = "the admission refused";
-                    history.refused.push(Arc::clone(&endpoint));
-                    history.retry_after = Some(retry_after);
-                    if history.refused.len() < self.lag().max_admissions() {
-                        continue;
-                    }
-                    return JobOutcome::Refused(history.refusal(retry_after));
-                }
+            let grant = match self.request_slot(&endpoint, history).await {
+                Slot::Free(grant) => grant,
+                Slot::TryAnother => continue,
+                Slot::Refused(refusal) => return JobOutcome::Refused(refusal),
             };
-            // While the request was queued it may have become held, and the endpoint may have asked for a pause or begun to
-            // drain.
+            // While the request was queued it may have become held, and the endpoint may have asked for a pause, begun to
+            // drain, or been evacuated.
             if let Some(refusal) = self.held_refusal(history) {
                 return JobOutcome::Refused(refusal);
             }
-            if endpoint.backoff_left().is_some() || endpoint.is_draining() {
+            if endpoint.backoff_left().is_some()
+                || endpoint.is_draining()
+                || endpoint.is_evacuated()
+            {
                 continue;
             }
             let is_tried_again = history
@@ -244,6 +232,41 @@
         }
     }
 
+    /// Requests a slot at an endpoint, and tells what to do next.
+    async fn request_slot(&self, endpoint: &Arc<Endpoint>, history: &mut History) -> Slot {
+        match self.admit(endpoint, history).await {
+            AskOutcome::Granted(grant) => {
+                history.waited_ms = grant.waited_ms;
+                history.ahead_tokens = grant.ahead_tokens;
+                Slot::Free(Some(grant))
+            }
+            AskOutcome::Unasked if self.may_send_ungranted(endpoint) => Slot::Free(None),
+            AskOutcome::Unasked => {
+                history.cause = "the endpoint warms up";
+                history.warming_up.push(Arc::clone(endpoint));
+                Slot::TryAnother
+            }
+            AskOutcome::Evacuated => Slot::TryAnother,
+            AskOutcome::EngineGone => {
+                history.cause = "the engine is gone";
+                history.gone.push(Arc::clone(endpoint));
+                if history.gone.len() >= MAX_GONE_ENGINES {
+                    return Slot::Refused(history.refusal(NO_ENDPOINT_RETRY));
+                }
+                Slot::TryAnother
+            }
+            AskOutcome::Refused { retry_after } => {
+                history.cause = "the admission refused";
+                history.refused.push(Arc::clone(endpoint));
+                history.retry_after = Some(retry_after);
+                if history.refused.len() < self.lag().max_admissions() {
+                    return Slot::TryAnother;
+                }
+                Slot::Refused(history.refusal(retry_after))
+            }
+        }
+    }
+
     /// Returns the refusal of the request if several endpoints have ended while they ran it or requests with a part of its prompt.
     fn held_refusal(&self, history: &mut History) -> Option<Refusal> {
         let suspects = &self.gateway.routing.suspects;
@@ -335,7 +358,11 @@
                 left_ms: millis(endpoint.warm_up_left()),
             }),
         };
-        admission.ask(endpoint, ask).await
+        tokio::select! {
+            biased;
+            () = endpoint.wait_until_evacuated() => AskOutcome::Evacuated,
+            outcome = admission.ask(endpoint, ask) => outcome,
+        }
     }
 
     /// Returns whether the request may be sent to an endpoint that has granted no slot for it, and counts it if so.
@@ -448,7 +475,7 @@
         let snapshot = self.gateway.routing.current();
         let listed = snapshot.of_service(&self.service).iter();
         let usable: SmallVec<[&Arc<Endpoint>; 16]> = listed
-            .filter(|listed| listed.is_open() && listed.has_fresh_load())
+            .filter(|listed| listed.is_open() && listed.has_fresh_load() && self.may_use(listed))
             .collect();
         let sources: SmallVec<[KvSource; 16]> = usable
             .iter()
@@ -462,6 +489,17 @@
         (source != endpoint.description.address).then_some(source)
     }
 
+    /// Returns whether an endpoint is outside of every evacuated data centre and within the request's homes.
+    ///
+    /// That holds for the cached prefixes of an engine as well: an evacuated one is left alone and may end at any moment.
+    fn may_use(&self, endpoint: &Endpoint) -> bool {
+        let data_centers = &self.gateway.data_centers;
+        !endpoint.is_evacuated()
+            && self
+                .homes
+                .allow(data_centers, &endpoint.description.data_center)
+    }
+
     /// Chooses an endpoint, preferably one that was not tried and is not ejected by its circuit breaker.
     fn pick_endpoint(&self, history: &mut History) -> Choice {
         // The current list, not that of the request's arrival: endpoints may have left or started since then.
@@ -469,7 +507,8 @@
         let listed = snapshot.of_service(&self.service);
         let listed = listed
             .iter()
-            .filter(|endpoint| !endpoint.is_draining() && history.allows(endpoint));
+            .filter(|endpoint| !endpoint.is_draining() && self.may_use(endpoint))
+            .filter(|endpoint| history.allows(endpoint));
         // A requested pause is binding: no request goes to such an endpoint, even if no other is left.
         let mut shortest_backoff: Option<Duration> = None;
         let listed: SmallVec<[&Arc<Endpoint>; 16]> = listed
@@ -481,6 +520,9 @@
             })
             .collect();
         if listed.is_empty() {
+            if self.homes.is_bound() {
+                history.record_cause("no endpoint within the allowed regions takes requests");
+            }
             if shortest_backoff.is_none() && history.stream_origin.is_some() {
                 return Choice::VersionGone;
             }
--- a/crates/gateway/src/peer_updates.rs
+++ b/crates/gateway/src/peer_updates.rs
@@ -90,7 +90,8 @@
                 without_ms = routing.age().as_millis(),
                 table = update.table.as_ref().map_or(0, |table| table.number),
                 endpoints = update.endpoints.as_ref().map_or(0, |list| list.version),
-                suspects = update.suspects.as_ref().map_or(0, |list| list.version)
+                suspects = update.suspects.as_ref().map_or(0, |list| list.version),
+                evacuations = update.evacuations.as_ref().map_or(0, |list| list.version)
             );
             routing.apply(update);
         }
@@ -98,7 +99,10 @@
 }
 
 fn has_changes(update: &RoutesUpdate) -> bool {
-    update.table.is_some() || update.endpoints.is_some() || update.suspects.is_some()
+    update.table.is_some()
+        || update.endpoints.is_some()
+        || update.suspects.is_some()
+        || update.evacuations.is_some()
 }
 
 /// Returns the routes for the readiness check and for other gateways' queries.
--- a/crates/gateway/src/routing_state.rs
+++ b/crates/gateway/src/routing_state.rs
@@ -8,7 +8,9 @@
 
 use arc_swap::ArcSwap;
 use hinge_routing::{Address, RouteIndex};
-use hinge_schema::routing::{EndpointList, EndpointState, RouteTable, RoutesUpdate, WatchRoutes};
+use hinge_schema::routing::{
+    EndpointList, EndpointState, EvacuationList, RouteTable, RoutesUpdate, WatchRoutes,
+};
 use hinge_telemetry::info;
 use hinge_telemetry::log::Component;
 use tokio::time::Instant;
@@ -20,13 +22,14 @@
 use crate::units::millis;
 
 /// An immutable snapshot of the routes and endpoints.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct RoutingSnapshot {
     pub(crate) lookup: Option<Arc<RouteIndex>>,
     /// Latest list of endpoints from control, if any.
     list: Option<Arc<EndpointList>>,
     by_id: HashMap<Box<str>, Arc<Endpoint>>,
     by_service: HashMap<Box<str>, Vec<Arc<Endpoint>>>,
+    pub(crate) evacuations: Arc<EvacuationList>,
     /// Services whose endpoints all have one software version.
     only_versions: HashMap<Box<str>, OnlyVersion>,
 }
@@ -38,7 +41,42 @@
     since: Instant,
 }
 
+impl Default for RoutingSnapshot {
+    fn default() -> Self {
+        let evacuations = EvacuationList {
+            version: 0,
+            evacuations: Vec::new(),
+        };
+        Self {
+            lookup: None,
+            list: None,
+            by_id: HashMap::new(),
+            by_service: HashMap::new(),
+            evacuations: Arc::new(evacuations),
+            only_versions: HashMap::new(),
+        }
+    }
+}
+
 impl RoutingSnapshot {
+    /// Returns whether a data centre is evacuated.
+    fn is_evacuated(&self, data_center: &str) -> bool {
+        let mut evacuations = self.evacuations.evacuations.iter();
+        evacuations.any(|evacuation| *evacuation.data_center == *data_center)
+    }
+
+    /// Returns the time for which an endpoint of a service warms up; zero if its endpoints don't.
+    fn warm_up_time(&self, service: &str) -> Duration {
+        let service = self
+            .lookup
+            .as_ref()
+            .and_then(|lookup| lookup.service(service));
+        let warm_up = service.and_then(|service| service.warm_up.as_ref());
+        warm_up.map_or(Duration::ZERO, |warm_up| {
+            Duration::from_millis(warm_up.duration_ms)
+        })
+    }
+
     /// Returns the endpoints of a service that take requests.
     pub(crate) fn of_service(&self, service: &str) -> &[Arc<Endpoint>] {
         self.by_service.get(service).map_or(&[], Vec::as_slice)
@@ -157,18 +195,23 @@
             list: current.list.clone(),
             by_id: current.by_id.clone(),
             by_service: current.by_service.clone(),
+            evacuations: Arc::clone(&current.evacuations),
             only_versions: current.only_versions.clone(),
         }));
     }
 
     /// Applies the newer parts of an update, and returns whether there is a route table now.
     pub(crate) fn apply(&self, update: RoutesUpdate) -> bool {
-        if let Some(table) = update.table {
-            self.apply_table(table);
+        // Evacuations first: no request may go to an endpoint before this gateway knows whether it is evacuated.
+        if let Some(list) = update.evacuations {
+            self.apply_evacuations(list);
         }
         if let Some(list) = update.endpoints {
             self.apply_endpoints(list);
         }
+        if let Some(table) = update.table {
+            self.apply_table(table);
+        }
         if let Some(list) = update.suspects {
             self.suspects.apply(&list);
         }
@@ -188,11 +231,54 @@
             suspects: query
                 .suspects_version
                 .and_then(|version| self.suspects.changes_since(version)),
+            evacuations: query.evacuations_version.and_then(|version| {
+                let is_newer = current.evacuations.version > version;
+                is_newer.then(|| EvacuationList::clone(&current.evacuations))
+            }),
             control: Vec::new(),
             gateways: Vec::new(),
         }
     }
 
+    /// Applies a newer list of evacuations; an older one is ignored.
+    ///
+    /// The endpoints of a data centre whose evacuation has ended may have been restarted, so they count as warming up.
+    fn apply_evacuations(&self, list: EvacuationList) {
+        let _writer = self.writer.lock().unwrap_or_else(PoisonError::into_inner);
+        let current = self.current();
+        if list.version <= current.evacuations.version {
+            return;
+        }
+        let names: Vec<&str> = list
+            .evacuations
+            .iter()
+            .map(|evacuation| &*evacuation.data_center)
+            .collect();
+        info!(
+            Component::Gateway,
+            "The evacuations have changed.",
+            version = list.version,
+            before = current.evacuations.version,
+            data_centers = names.join(",")
+        );
+        let next = RoutingSnapshot {
+            lookup: current.lookup.clone(),
+            list: current.list.clone(),
+            by_id: current.by_id.clone(),
+            by_service: current.by_service.clone(),
+            evacuations: Arc::new(list),
+            only_versions: current.only_versions.clone(),
+        };
+        for endpoint in next.by_id.values() {
+            let is_evacuated = next.is_evacuated(&endpoint.description.data_center);
+            if endpoint.is_evacuated() && !is_evacuated {
+                endpoint.record_warm_up(next.warm_up_time(&endpoint.description.service));
+            }
+            endpoint.set_evacuated(is_evacuated);
+        }
+        self.current.store(Arc::new(next));
+    }
+
     fn new_endpoint(&self, description: hinge_schema::routing::Endpoint) -> Endpoint {
         let admission_access = self.admission_access.as_ref();
         let admission = admission_access
@@ -220,6 +306,7 @@
             let endpoint = known
                 .cloned()
                 .unwrap_or_else(|| Arc::new(self.new_endpoint(description)));
+            endpoint.set_evacuated(current.is_evacuated(&endpoint.description.data_center));
             endpoint.record_warm_up(warm_up_left);
             if is_ready && !endpoint.is_draining() {
                 ready += 1;
@@ -258,6 +345,7 @@
         );
         self.current.store(Arc::new(RoutingSnapshot {
             lookup: current.lookup.clone(),
+            evacuations: Arc::clone(&current.evacuations),
             only_versions: current.next_only_versions(&list),
             list: Some(Arc::new(list)),
             by_id,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hinge_routing::{Overloaded, RequestKey, RouteIndex, StreamOrigin};
+use hinge_routing::{Homes, Overloaded, RequestKey, RouteIndex, StreamOrigin};
 use hinge_schema::routing::{Engine, RequestKind, Route};
 use hinge_telemetry::info;
 use hinge_telemetry::log::Component;
@@ -81,6 +81,7 @@
         team,
         rank,
         engine,
+        homes,
     } = match matched {
         Ok(matched) => matched,
         Err(refusal) => return refuse_early(&gateway, &snapshot, &facts, &parts, refusal),
@@ -124,11 +125,10 @@
     let running = match admitted {
         Ok(running) => running,
         Err(overloaded) => {
-            let handed_off = hand_off(&gateway, snapshot.table_number(), &outgoing, &overloaded);
-            return match handed_off.await {
-                Some(response) => response,
-                None => refuse_overloaded(&gateway, team, &facts, overloaded),
-            };
+            // The others are in this data centre, and only the gateway that the caller reached may be outside of the homes.
+            let may_hand_off = homes.allow(&gateway.data_centers, &gateway.data_center);
+            let table = may_hand_off.then(|| snapshot.table_number());
+            return without_room(&gateway, table, &outgoing, &facts, overloaded).await;
         }
     };
     let found_at = Instant::now();
@@ -149,6 +149,7 @@
         prompt: facts.prompt,
         engine,
         rank,
+        homes,
         origin,
         _running: running,
         last_event: facts.last_event,
@@ -162,6 +163,22 @@
     }
 }
 
+/// Hands a request without room off to a gateway with the same table if it may be handed off, and refuses it otherwise.
+async fn without_room(
+    gateway: &Arc<Shared>,
+    table: Option<u64>,
+    outgoing: &OutgoingRequest,
+    facts: &RequestFacts,
+    overloaded: Overloaded,
+) -> Response<AnswerBody> {
+    if let Some(table) = table
+        && let Some(response) = hand_off(gateway, table, outgoing, &overloaded).await
+    {
+        return response;
+    }
+    refuse_overloaded(gateway, outgoing.team.as_deref(), facts, overloaded)
+}
+
 /// Admits a caller's request.
 ///
 /// Only requests to model engines count against the limits; a plain one is only rejected when the gateway lags behind.
@@ -230,6 +247,7 @@
     rank: u32,
     /// Model engines of the service, if it has any.
     engine: Option<Engine>,
+    homes: Homes,
 }
 
 /// Looks up the route, the service and the team of a request.
@@ -258,6 +276,10 @@
             .and_then(|team| team.priority)
             .unwrap_or(route.priority),
         engine: engine_of(snapshot, &target.service),
+        homes: Homes::of(
+            &route.allowed_regions,
+            team.map_or(&[], |team| &team.allowed_regions),
+        ),
         route: route.clone(),
     })
 }
--- a/crates/routing/src/check.rs
+++ b/crates/routing/src/check.rs
@@ -6,6 +6,8 @@
 
 use hinge_schema::routing::{Route, RouteTable};
 
+use crate::homes::DataCenters;
+
 /// The reason why a route table is not valid.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum TableError {
@@ -36,6 +38,13 @@
         /// Name of the route.
         route: Box<str>,
     },
+    /// A route or a team has a home in a region without a data centre.
+    UnknownRegion {
+        /// Name of the route or team.
+        name: Box<str>,
+        /// Name of the region.
+        region: Box<str>,
+    },
     /// Two teams hold the same key.
     SharedKey {
         /// Name of the second team.
@@ -71,6 +80,12 @@
                     "the path prefix of route `{route}` must begin and end with a slash"
                 )
             }
+            Self::UnknownRegion { name, region } => {
+                write!(
+                    f,
+                    "the allowed regions of `{name}` name `{region}`, which has no data centre"
+                )
+            }
             Self::SharedKey { team } => write!(f, "a key of team `{team}` is held by another team"),
         }
     }
@@ -112,6 +127,33 @@
     Ok(())
 }
 
+/// Checks that the homes of a table's routes and teams are regions with data centres.
+///
+/// # Errors
+///
+/// Returns the first region that has none. Without known data centres none is checked.
+pub fn check_homes(table: &RouteTable, data_centers: &DataCenters) -> Result<(), TableError> {
+    if data_centers.is_empty() {
+        return Ok(());
+    }
+    let routes = table.routes.iter();
+    let routes = routes.map(|route| (&route.name, &route.allowed_regions));
+    let teams = table.teams.iter();
+    let teams = teams.map(|team| (&team.name, &team.allowed_regions));
+    for (name, regions) in routes.chain(teams) {
+        if let Some(region) = regions
+            .iter()
+            .find(|region| !data_centers.has_region(region))
+        {
+            return Err(TableError::UnknownRegion {
+                name: name.clone(),
+                region: region.clone(),
+            });
+        }
+    }
+    Ok(())
+}
+
 fn check_route(route: &Route, services: &BTreeSet<&str>) -> Result<(), TableError> {
     let name = || route.name.clone();
     if let Some(target) = route
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -8,6 +8,7 @@
 //!   to copy it from.
 //! - [`load_interval`] limits how often a gateway receives the loads of endpoints.
 //! - [`WarmUp`] and [`WarmUpShare`] limit the requests that an endpoint receives while it warms up.
+//! - [`Homes`] tells in which regions a request may be handled.
 //! - [`RetryBudget`] limits retries, and [`CircuitBreaker`] ejects endpoints that fail.
 //! - [`OverloadControl`] decides which requests an overloaded gateway refuses, and [`PeerGateways`] chooses
 //!   another gateway for them.
@@ -26,6 +27,7 @@
 mod control_instances;
 mod counts;
 mod crashes;
+mod homes;
 mod kv_source;
 mod load_interval;
 mod overload;
@@ -42,7 +44,7 @@
 mod warm_up;
 
 pub use cached_prefixes::{CachedPrefixes, Holders, IncarnationHash};
-pub use check::{TableError, check_table};
+pub use check::{TableError, check_homes, check_table};
 pub use choose::{
     Candidate, ChoiceRules, Prompt, PromptPart, choose_after_refusal, choose_endpoint, home_rank,
 };
@@ -50,6 +52,7 @@
 pub use control_instances::{Address, ControlInstances};
 pub use counts::{LimitKind, OverloadCounts};
 pub use crashes::CrashTracker;
+pub use homes::{DataCenters, Homes, has_homes};
 pub use kv_source::{KvSource, choose_kv_source, token_copy_time};
 pub use load_interval::load_interval;
 pub use overload::{OverloadControl, OverloadRules, Overloaded};
--- a/crates/routing/tests/table.rs
+++ b/crates/routing/tests/table.rs
@@ -22,6 +22,7 @@
         prompts: false,
         resumable: false,
         target_gap_ms: None,
+        allowed_regions: Vec::new(),
     }
 }
 
@@ -37,6 +38,7 @@
         name: name.into(),
         keys: vec![key.into()],
         priority: None,
+        allowed_regions: Vec::new(),
     }
 }
 
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -9,6 +9,7 @@
 use hinge_schema::routing::RouteTable;
 use serde::{Deserialize, Serialize};
 
+use crate::evacuations::EvacuationCommand;
 use crate::routing::EndpointCommand;
 use crate::upgrades::UpgradeCommand;
 use crate::{ChangeId, Fence, InstanceName, OrderId, WallMs};
@@ -80,6 +81,13 @@
     Endpoint(EndpointCommand),
     /// Records which requests endpoints were working on when they ended, or grants a trial of held prompt parts.
     Suspects(SuspectsCommand),
+    /// Allows commands and state of a later format; a version that doesn't know the format stops at this entry.
+    RaiseFormat {
+        /// Format of the log.
+        format: u32,
+    },
+    /// Starts or ends the evacuation of a data centre.
+    Evacuation(EvacuationCommand),
 }
 
 /// A gateway's report on requests that are suspected of ending endpoints.
@@ -230,6 +238,8 @@
     Held(Vec<RequestKey>),
     /// Whether a trial is granted.
     Trial(bool),
+    /// Whether the data centre is in the state that the order asked for.
+    Evacuation(bool),
 }
 
 impl Command {
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod changes;
 pub mod command;
+pub mod evacuations;
 pub mod folder;
 pub mod keys;
 pub mod members;
@@ -15,18 +16,21 @@
 pub mod service;
 pub mod state;
 pub mod upgrades;
+pub mod warm_ups;
 
 pub use changes::Changes;
 pub use command::{
     ChangeCommand, Checked, Command, DrainCommand, OrderCommand, OrderResult, Reply,
     SuspectsCommand, TrialCommand,
 };
+pub use evacuations::{DataCenter, EvacuationCommand, EvacuationRevision, Evacuations};
 pub use folder::{Change, Folder};
 pub use members::{LeaseLimits, Members};
 pub use roster::Roster;
 pub use routing::{EndpointCommand, EndpointId, Incarnation, LastReports, Routing, StartTime};
-pub use state::{ControlName, RestoreError, State};
+pub use state::{ControlName, LOG_FORMAT, RestoreError, State};
 pub use upgrades::{UpgradeCommand, UpgradeStep, Upgrades};
+pub use warm_ups::WarmUps;
 
 /// The id of an operator's change, which the operator draws at random; a resent change carries the same id.
 pub type ChangeId = Box<str>;
--- a/crates/state/src/routing.rs
+++ b/crates/state/src/routing.rs
@@ -14,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::command::{SuspectsCommand, TrialCommand};
+use crate::evacuations::{EvacuationCommand, Evacuations};
 
 /// The id of an endpoint; an endpoint that restarts may keep its id.
 pub type EndpointId = Box<str>;
@@ -98,6 +99,9 @@
     /// Requests that endpoints were working on when they ended; missing in snapshots of versions before this record.
     #[serde(default)]
     suspects: Arc<Suspects>,
+    /// Evacuated data centres; missing in snapshots of versions before this record.
+    #[serde(default)]
+    evacuations: Evacuations,
 }
 
 impl Routing {
@@ -141,6 +145,17 @@
         next.is_some_and(|next| next.address == endpoint.address)
     }
 
+    /// Returns all endpoints.
+    pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints.values()
+    }
+
+    /// Returns an endpoint by its id.
+    #[must_use]
+    pub fn endpoint(&self, id: &str) -> Option<&Endpoint> {
+        self.endpoints.get(id)
+    }
+
     /// Returns the ids of all endpoints.
     pub fn ids(&self) -> impl Iterator<Item = &EndpointId> {
         self.endpoints.keys()
@@ -155,9 +170,7 @@
         let Some(known) = self.same_incarnation(report) else {
             return true;
         };
-        let is_late = report.sequence <= known.sequence;
-        let drains_again = known.state == EndpointState::Draining;
-        if is_late || drains_again {
+        if !supersedes(known, report) {
             return false;
         }
         // The remaining warm-up time counts down by itself, so a new value of it is no change.
@@ -166,6 +179,16 @@
             || known.slots != report.slots
     }
 
+    /// Returns whether a report that is no change may still tell that the endpoint warms up again.
+    #[must_use]
+    pub fn may_warm_up_again(&self, report: &Endpoint) -> bool {
+        let known = self.same_incarnation(report);
+        report.warm_up_ms > 0
+            && !self.is_retired(&report.id, report.born_unix_ms)
+            && !self.contradicts(report)
+            && known.is_some_and(|known| supersedes(known, report))
+    }
+
     /// Returns whether a report is from an incarnation that has ended or has been followed by a newer one.
     #[must_use]
     pub fn is_outdated(&self, report: &Endpoint) -> bool {
@@ -237,10 +260,21 @@
         Arc::make_mut(&mut self.suspects).grant_trial(&trial.parts, trial.now_ms)
     }
 
-    /// Applies a change of the endpoints at a log index.
-    pub fn apply(&mut self, index: u64, command: EndpointCommand) {
+    /// Returns the evacuated data centres.
+    #[must_use]
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Applies an order at a log index, and returns whether its data centre is in the ordered state now.
+    pub(crate) fn apply_evacuation(&mut self, index: u64, command: EvacuationCommand) -> bool {
+        self.evacuations.apply(index, command)
+    }
+
+    /// Applies a change of the endpoints at a log index of a log of some format.
+    pub fn apply(&mut self, index: u64, format: u32, command: EndpointCommand) {
         let changes = match command {
-            EndpointCommand::Report(endpoint) => self.record_report(endpoint),
+            EndpointCommand::Report(endpoint) => self.record_report(format, endpoint),
             EndpointCommand::Retire(incarnation) => self.retire(&incarnation),
             EndpointCommand::Drop(id) => self.forget(&id),
         };
@@ -249,8 +283,9 @@
         }
     }
 
-    fn record_report(&mut self, endpoint: Endpoint) -> bool {
-        if !self.is_change(&endpoint) {
+    fn record_report(&mut self, format: u32, endpoint: Endpoint) -> bool {
+        let warms_up_again = format >= 1 && self.may_warm_up_again(&endpoint);
+        if !self.is_change(&endpoint) && !warms_up_again {
             return false;
         }
         if self.same_incarnation(&endpoint).is_none() {
@@ -296,6 +331,11 @@
     }
 }
 
+/// Returns whether a report of the same incarnation is later than the known one, and may change it.
+fn supersedes(known: &Endpoint, report: &Endpoint) -> bool {
+    report.sequence > known.sequence && known.state != EndpointState::Draining
+}
+
 /// The times at which the leader last received a report of each endpoint.
 #[derive(Debug, Default)]
 pub struct LastReports {
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -16,6 +16,16 @@
 use crate::upgrades::{UpgradeCommand, UpgradeStep, Upgrades};
 use crate::{InstanceName, OrderId, WallMs, keys};
 
+/// Highest format of the log that this version knows.
+///
+/// Format 1 has evacuations, homes of routes and teams, and endpoints that warm up again.
+pub const LOG_FORMAT: u32 = 1;
+
+/// Start of a snapshot of format 1 or later, which versions that know format 0 only can't decode.
+///
+/// They skip fields that they don't know, and would lose evacuations.
+const SNAPSHOT_MARK: &[u8] = b"hinge-state-1\n";
+
 /// Prefix of the operator's name in drains and orders that an upgrade plan or planned stop asked for.
 pub const PLANNED_PREFIX: &str = "planned/";
 
@@ -41,6 +51,9 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct State {
     applied_index: u64,
+    /// Format of the log; missing in snapshots of versions before formats.
+    #[serde(default)]
+    format: u32,
     now_ms: WallMs,
     changes: Changes,
     keys: KeyTable,
@@ -61,6 +74,7 @@
     fn default() -> Self {
         Self {
             applied_index: 0,
+            format: 0,
             now_ms: 0,
             changes: Changes::default(),
             keys: KeyTable::new(),
@@ -154,7 +168,7 @@
             }
             Command::PutTable(table) => Reply::TableNumber(self.routing.put_table(*table)),
             Command::Endpoint(command) => {
-                self.routing.apply(index, command);
+                self.routing.apply(index, self.format, command);
                 Reply::Done
             }
             Command::Suspects(command) => {
@@ -164,6 +178,14 @@
                     None => Reply::Held(held),
                 }
             }
+            Command::RaiseFormat { format } => {
+                self.format = self.format.max(format);
+                Reply::Done
+            }
+            Command::Evacuation(mut command) => {
+                command.now_ms = self.advance_clock(command.now_ms);
+                Reply::Evacuation(self.routing.apply_evacuation(index, command))
+            }
         }
     }
 
@@ -291,6 +313,12 @@
         self.applied_index
     }
 
+    /// Returns the format of the log, which every member knows.
+    #[must_use]
+    pub fn format(&self) -> u32 {
+        self.format
+    }
+
     /// Returns the operators' folder and its history.
     #[must_use]
     pub fn changes(&self) -> &Changes {
@@ -355,9 +383,14 @@
     /// Panics if the state can't be encoded as MessagePack; it always can.
     #[must_use]
     pub fn encode(&self) -> Box<[u8]> {
-        rmp_serde::to_vec_named(self)
-            .expect("the state can be encoded as MessagePack")
-            .into_boxed_slice()
+        let mut bytes = if self.format == 0 {
+            Vec::new()
+        } else {
+            SNAPSHOT_MARK.to_vec()
+        };
+        rmp_serde::encode::write_named(&mut bytes, self)
+            .expect("the state can be encoded as MessagePack");
+        bytes.into_boxed_slice()
     }
 
     /// Restores the state from a snapshot; an empty snapshot is the state before the first entry.
@@ -369,6 +402,7 @@
         if bytes.is_empty() {
             return Ok(Self::default());
         }
+        let bytes = bytes.strip_prefix(SNAPSHOT_MARK).unwrap_or(bytes);
         rmp_serde::from_slice(bytes).map_err(RestoreError)
     }
 }
--- a/crates/state/tests/routing.rs
+++ b/crates/state/tests/routing.rs
@@ -5,7 +5,7 @@
 use hinge_cases::cases;
 use hinge_schema::routing::{CallerLimits, Endpoint, EndpointState, RouteTable};
 use hinge_state::routing::REPORT_TIMEOUT;
-use hinge_state::{Command, EndpointCommand, Incarnation, LastReports, Reply, State};
+use hinge_state::{Command, EndpointCommand, Incarnation, LastReports, Reply, State, WarmUps};
 use quickcheck::quickcheck;
 use serde_bytes::ByteBuf;
 
@@ -90,7 +90,75 @@
     found.map(|endpoint| endpoint.state)
 }
 
+fn report(state: &mut State, endpoint: Endpoint) {
+    change(state, EndpointCommand::Report(endpoint));
+}
+
+fn raise_format(state: &mut State) {
+    let index = state.applied_index() + 1;
+    state.apply(index, 1, Command::RaiseFormat { format: 1 });
+}
+
+fn warming_up(id: &str, sequence: u64, warm_up_ms: u64) -> Endpoint {
+    Endpoint {
+        warm_up_ms,
+        ..endpoint(id, sequence)
+    }
+}
+
+fn ms(time_ms: u64) -> Duration {
+    Duration::from_millis(time_ms)
+}
+
 cases! {
+    a_report_of_another_warm_up_changes_the_list => {
+        let mut state = State::default();
+        raise_format(&mut state);
+        report(&mut state, endpoint("one", 1));
+        let version = state.routing().endpoints_version();
+        let again = warming_up("one", 2, 3_000);
+        assert!(!state.routing().is_change(&again));
+        assert!(state.routing().may_warm_up_again(&again));
+        report(&mut state, again.clone());
+        assert!(state.routing().endpoints_version() > version);
+        assert_eq!(state.routing().list().endpoints, std::slice::from_ref(&again));
+        assert!(!state.routing().may_warm_up_again(&again), "a late copy tells nothing");
+        assert!(!state.routing().may_warm_up_again(&endpoint("one", 3)));
+    }
+    // Guards against lists that differ between members of two versions.
+    a_log_of_format_0_ignores_another_warm_up => {
+        let mut state = State::default();
+        report(&mut state, endpoint("one", 1));
+        let version = state.routing().endpoints_version();
+        report(&mut state, warming_up("one", 2, 3_000));
+        assert_eq!(state.routing().endpoints_version(), version);
+    }
+    a_warm_up_counts_down => {
+        let mut state = State::default();
+        raise_format(&mut state);
+        report(&mut state, warming_up("one", 1, 3_000));
+        let mut warm_ups = WarmUps::default();
+        warm_ups.note(ms(10_000), state.routing());
+        assert_eq!(warm_ups.left(ms(10_000), "one"), ms(3_000));
+        warm_ups.note(ms(11_000), state.routing());
+        let mut list = state.routing().list();
+        warm_ups.count_down(ms(11_000), &mut list);
+        assert_eq!(list.endpoints[0].warm_up_ms, 2_000, "the same report starts no other warm-up");
+        assert!(!warm_ups.is_news(ms(11_000), &warming_up("one", 2, 2_100)));
+        assert!(warm_ups.is_news(ms(11_000), &warming_up("one", 2, 3_000)));
+        assert_eq!(warm_ups.left(ms(14_000), "one"), Duration::ZERO);
+        assert!(!warm_ups.is_news(ms(14_000), &endpoint("one", 3)));
+        assert!(warm_ups.is_news(ms(14_000), &warming_up("one", 3, 2_000)));
+    }
+    a_restarted_endpoint_warms_up_for_the_whole_time => {
+        let mut state = State::default();
+        report(&mut state, Endpoint { warm_up_ms: 3_000, ..started("one", 5, 1) });
+        let mut warm_ups = WarmUps::default();
+        warm_ups.note(ms(0), state.routing());
+        report(&mut state, Endpoint { warm_up_ms: 3_000, ..started("one", 6, 1) });
+        warm_ups.note(ms(2_000), state.routing());
+        assert_eq!(warm_ups.left(ms(2_000), "one"), ms(3_000));
+    }
     the_highest_number_is_in_force_and_lower_ones_change_nothing => {
         let mut state = State::default();
         assert_eq!(put(&mut state, 5, "five"), Reply::TableNumber(5));
--- a/crates/telemetry/src/readiness.rs
+++ b/crates/telemetry/src/readiness.rs
@@ -1,6 +1,6 @@
 //! Whether a process is ready for work, and the reasons why it is not.
 
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU16, Ordering};
 
 /// A reason why a process is not ready.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -21,11 +21,13 @@
     Leaving,
     /// The process is at its capacity.
     Full,
+    /// The process has not heard from control for so long that its state may be outdated.
+    Outdated,
 }
 
 impl Reason {
     /// Every reason, in the order in which they are reported.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::Starting,
         Self::NoConfig,
         Self::NoMembers,
@@ -34,6 +36,7 @@
         Self::NoQuorum,
         Self::Leaving,
         Self::Full,
+        Self::Outdated,
     ];
 
     /// Returns the text that `/readyz` shows.
@@ -48,18 +51,19 @@
             Self::NoQuorum => "no quorum",
             Self::Leaving => "leaving",
             Self::Full => "as much work as it can bear",
+            Self::Outdated => "no word from control for too long",
         }
     }
 
-    fn bit(self) -> u8 {
-        1 << (self as u8)
+    fn bit(self) -> u16 {
+        1 << (self as u16)
     }
 }
 
 /// The readiness of a process, as an atomic set of the reasons why it is not ready.
 #[derive(Debug)]
 pub struct Readiness {
-    bits: AtomicU8,
+    bits: AtomicU16,
 }
 
 impl Readiness {
@@ -68,7 +72,7 @@
     pub fn new(reasons: &[Reason]) -> Self {
         let bits = reasons.iter().fold(0, |bits, reason| bits | reason.bit());
         Self {
-            bits: AtomicU8::new(bits),
+            bits: AtomicU16::new(bits),
         }
     }
 
