Schema: pace of an engine, expected length of an answer, and key of a return

Interfaces of the parts for endpoints of unequal speed and for scarce room: an admission reports how fast its engine works beside the load, a gateway says how long an answer is expected to be and by which key a caller is recognised that comes back.

--- a/crates/gateway/src/admission_stream/tests.rs
+++ b/crates/gateway/src/admission_stream/tests.rs
@@ -35,6 +35,8 @@
         budget_ms: 2_000,
         elsewhere_tokens: 0,
         warm_up: None,
+        expected_answer_tokens: None,
+        return_key: None,
     });
     let verdict = AdmitVerdict {
         number: 0,
@@ -49,6 +51,7 @@
             teams: Vec::new(),
             engine_is_gone: None,
             warm_up_ms: None,
+            pace: None,
         },
     };
     let mut grant = Grant::new(sent_ask, &verdict, asked_at, LOST_GRACE);
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -357,6 +357,8 @@
                 limits: limits.clone(),
                 left_ms: millis(endpoint.warm_up_left()),
             }),
+            expected_answer_tokens: None,
+            return_key: None,
         };
         tokio::select! {
             biased;
