--- a/crates/gateway/src/handoff.rs
+++ b/crates/gateway/src/handoff.rs
@@ -264,7 +264,10 @@
         };
         match send(in_use, table, outgoing).await {
             OfferOutcome::Answered(response) => {
-                shared.overload().record_handoff();
+                let mut overload = shared.overload();
+                overload.record_handoff();
+                overload.record_handoff_outcome(response.status().is_success());
+                drop(overload);
                 log_handoff(outgoing, address, offered.len(), overloaded);
                 return Some(response);
             }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -172,6 +172,7 @@
     overloaded: Overloaded,
 ) -> Response<AnswerBody> {
     if let Some(table) = table
+        && gateway.overload().try_hand_off(&overloaded)
         && let Some(response) = hand_off(gateway, table, outgoing, &overloaded).await
     {
         return response;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -27,6 +27,7 @@
 mod control_instances;
 mod counts;
 mod crashes;
+mod handoff_limit;
 mod homes;
 mod kv_source;
 mod load_interval;
--- a/crates/routing/src/overload.rs
+++ b/crates/routing/src/overload.rs
@@ -20,6 +20,7 @@
 
 use crate::connection_limit::{ConnectionLimit, ListenerState};
 use crate::counts::{LimitKind, OverloadCounts};
+use crate::handoff_limit::HandoffLimit;
 use crate::team_demand::TeamDemand;
 
 /// The settings of an [`OverloadControl`].
@@ -165,6 +166,7 @@
     /// time.
     limited_windows: u32,
     connection_limit: ConnectionLimit,
+    handoff_limit: HandoffLimit,
     counts: OverloadCounts,
     last_tick_at: Duration,
 }
@@ -195,6 +197,7 @@
             windows_since_full: 0,
             limited_windows: 0,
             connection_limit: ConnectionLimit::new(),
+            handoff_limit: HandoffLimit::default(),
             counts: OverloadCounts::default(),
             last_tick_at: Duration::ZERO,
         }
@@ -217,6 +220,7 @@
         self.peak_running = self.running;
         let has_refused = self.refused > 0;
         let handed_off = std::mem::take(&mut self.handed_off);
+        self.handoff_limit.end_window();
         let is_wasted = has_refused && self.is_overloaded();
         let listener = self
             .connection_limit
@@ -352,6 +356,18 @@
         }
     }
 
+    /// Returns whether a request without capacity may be handed off, and counts it if so.
+    ///
+    /// Only requests of hot teams are limited: they ask for more than they can get.
+    pub fn try_hand_off(&mut self, overloaded: &Overloaded) -> bool {
+        overloaded.limit_kind != LimitKind::HotTeams || self.handoff_limit.try_hand_off()
+    }
+
+    /// Records whether a request that another gateway took was served.
+    pub fn record_handoff_outcome(&mut self, is_served: bool) {
+        self.handoff_limit.record_outcome(is_served);
+    }
+
     /// Records that another gateway took a request that was handed off.
     pub fn record_handoff(&mut self) {
         self.begun += 1;
