sequoiactl evacuations: list, start and end them

Cause: an evacuation could be ordered only through the platform's calls, and no operator saw which data centres were evacuated, by whom, and what stays in use.

Change: control answers operators with the evacuations in force and the ready endpoints of each service in use. An evacuation that leaves a service without an endpoint is rejected unless it is forced. An order may be repeated: it is the same order.

Tests: an order at a follower, its repeat and its end; a service that would keep no endpoint; the command's answers and exit codes. Not compared with the load of the last minute, which control does not know.

--- a/crates/control/src/evacuation_calls.rs
+++ b/crates/control/src/evacuation_calls.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use hinge_link::ClusterKey;
+use hinge_schema::messages::{AskEvacuations, EvacuatedDataCenter, Evacuations, EvacuationsReply};
 use hinge_schema::routing::{
     AskEvacuation, EvacuationOrder, EvacuationState, OrderEvacuation, OrderEvacuationReply,
 };
@@ -16,6 +17,8 @@
 use viz::Router;
 
 use crate::core::{Core, unix_now_ms};
+use crate::driver::LogError;
+use crate::operators::Operator;
 use crate::peer_calls::{add_leader_call, answer_or_forward};
 use crate::route::StateCell;
 use crate::routing_calls::{RoutingCalls, RoutingUnavailable};
@@ -170,3 +173,66 @@
     );
     Ok(OrderEvacuationReply { is_done })
 }
+
+/// Lists the evacuations for an operator, after starting or ending one if asked to.
+pub(crate) async fn answer_operator(
+    core: Arc<Core>,
+    operator: Operator,
+    ask: AskEvacuations,
+) -> Result<EvacuationsReply, LogError> {
+    let ordered = match (ask.start, ask.end) {
+        (Some(data_center), _) => Some((data_center, EvacuationOrder::Start)),
+        (None, Some(data_center)) => Some((data_center, EvacuationOrder::End)),
+        (None, None) => None,
+    };
+    let rejected = match &ordered {
+        Some((data_center, _)) if !core.settings.has_data_center(data_center) => {
+            let cause = EvacuationError::UnknownDataCenter(data_center.clone());
+            Some(cause.to_string().into())
+        }
+        Some((data_center, EvacuationOrder::Start)) if !ask.force => {
+            deserted_service(&core, data_center).await?
+        }
+        Some(_) | None => None,
+    };
+    let mut planned = None;
+    if let Some((data_center, order)) = ordered {
+        if rejected.is_some() {
+            planned = (order == EvacuationOrder::Start).then_some(data_center);
+        } else {
+            let done = order_evacuation(Arc::clone(&core), &data_center, order, &operator.name);
+            // Another order came first, or the outcome is unknown; both are settled by a repeat.
+            if !done.await.unwrap_or(false) {
+                return Err(LogError::OutcomeUnknown);
+            }
+        }
+    }
+    let evacuations = core.read(move |state, _status| {
+        let routing = state.routing();
+        let in_force = routing.evacuations().in_force();
+        Evacuations {
+            evacuated: in_force
+                .map(|evacuation| EvacuatedDataCenter {
+                    data_center: evacuation.data_center.clone(),
+                    operator: evacuation.operator.clone(),
+                    since_unix_ms: evacuation.since_unix_ms,
+                })
+                .collect(),
+            services: routing.services_in_use(planned.as_deref()),
+            rejected,
+        }
+    });
+    Ok(EvacuationsReply::Evacuations(evacuations.await?))
+}
+
+/// Returns why a data centre can't be evacuated, if a service would keep no endpoint.
+async fn deserted_service(core: &Core, data_center: &str) -> Result<Option<Box<str>>, LogError> {
+    let also: Box<str> = data_center.into();
+    let services = core.read(move |state, _status| state.routing().services_in_use(Some(&also)));
+    let mut services = services.await?.into_iter();
+    let deserted = services.find(|service| service.in_use == 0);
+    Ok(deserted.map(|service| {
+        let name = service.service;
+        format!("the service {name:?} would keep no endpoint without {data_center:?}").into()
+    }))
+}
--- a/crates/control/src/operator_calls.rs
+++ b/crates/control/src/operator_calls.rs
@@ -6,9 +6,9 @@
 use hinge_raft::Role;
 use hinge_schema::messages::{
     Apply, ApplyReply, AskFolder, AskHistory, AskOrders, AskStatus, AskUpgrades, ConfigProblem,
-    ControlInstance, Drain, DrainReply, Drains, Folder, FolderReply, History, HistoryReply,
-    Invalid, Orders, OrdersReply, PlaceOrder, RemoveControl, RemoveControlReply, Status,
-    StatusReply, SuspectsReply, Unavailable, UpgradesReply,
+    ControlInstance, Drain, DrainReply, Drains, EvacuationsReply, Folder, FolderReply, History,
+    HistoryReply, Invalid, Orders, OrdersReply, PlaceOrder, RemoveControl, RemoveControlReply,
+    Status, StatusReply, SuspectsReply, Unavailable, UpgradesReply,
 };
 use hinge_state::{ChangeCommand, Checked, Command, DrainCommand, OrderCommand, Reply, State};
 use http::StatusCode;
@@ -22,7 +22,7 @@
 use crate::operators::{Operator, OperatorKeys};
 use crate::peer_client::PeerClient;
 use crate::route::{self, StateCell};
-use crate::suspect_calls::answer_operator;
+use crate::{evacuation_calls, suspect_calls};
 
 /// Longest ID, name or note from an operator, in bytes; they are kept in the log and in memory.
 const MAX_TEXT_BYTES: usize = 1024;
@@ -37,7 +37,7 @@
 const LACKING_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 macro_rules! operator_call {
-    ($router:ident, $keys:ident, $core:ident, $path:literal, $unavailable:path, $handler:ident) => {{
+    ($router:ident, $keys:ident, $core:ident, $path:literal, $unavailable:path, $handler:path) => {{
         let router = route::operator(
             $router,
             concat!("/v1/operator/", $path),
@@ -117,7 +117,15 @@
         core,
         "suspects",
         SuspectsReply::Unavailable,
-        answer_operator
+        suspect_calls::answer_operator
+    );
+    let router = operator_call!(
+        router,
+        keys,
+        core,
+        "evacuations",
+        EvacuationsReply::Unavailable,
+        evacuation_calls::answer_operator
     );
     operator_call!(
         router,
--- a/crates/control/tests/roles/evacuations.rs
+++ b/crates/control/tests/roles/evacuations.rs
@@ -2,9 +2,10 @@
 
 use hinge_cases::async_cases;
 use hinge_control::WATCH_ROUTES_PATH;
+use hinge_schema::messages::{AskEvacuations, Evacuations, EvacuationsReply};
 use hinge_schema::routing::{
-    AskEvacuation, EvacuationOrder, EvacuationState, OrderEvacuation, OrderEvacuationReply,
-    RoutesUpdate, WatchRoutes,
+    AskEvacuation, Endpoint, EndpointReply, EndpointState, EvacuationOrder, EvacuationState,
+    OrderEvacuation, OrderEvacuationReply, ReportEndpoint, RoutesUpdate, WatchRoutes,
 };
 
 use crate::fleet::{Fleet, pause};
@@ -84,7 +85,68 @@
     }
 }
 
+/// Reports an endpoint in the data centre `hall-a`, and asks again until that is accepted.
+async fn report_endpoint(fleet: &Fleet, name: &str) {
+    let endpoint = Endpoint {
+        id: "one".into(),
+        born_unix_ms: None,
+        service: "llm".into(),
+        address: ([10, 0, 0, 1], 8_080).into(),
+        data_center: "hall-a".into(),
+        software_version: "v1".into(),
+        slots: 64,
+        state: EndpointState::Ready,
+        warm_up_ms: 0,
+        sequence: 1,
+    };
+    let report = ReportEndpoint { endpoint };
+    while fleet
+        .call::<_, EndpointReply>(name, "/v1/endpoints/report", &report)
+        .await
+        .is_err()
+    {
+        pause().await;
+    }
+}
+
+/// Sends an operator's order to an instance until one that can act on it has answered.
+async fn operate(fleet: &Fleet, name: &str, ask: AskEvacuations) -> Evacuations {
+    loop {
+        match fleet.call_operator(name, "evacuations", &ask).await {
+            EvacuationsReply::Evacuations(evacuations) => return evacuations,
+            EvacuationsReply::Unavailable(_) => pause().await,
+        }
+    }
+}
+
 async_cases! { real
+    an_operator_starts_and_ends_an_evacuation => {
+        let fleet = Fleet::start(3).await;
+        let follower = fleet.follower().await;
+        let list = AskEvacuations { start: None, end: None, force: false };
+        let start = AskEvacuations { start: Some("hall-a".into()), ..list.clone() };
+        for _repeat in 0..2 {
+            let evacuations = operate(&fleet, &follower, start.clone()).await;
+            assert_eq!(evacuations.rejected, None);
+            assert_eq!(&*evacuations.evacuated[0].data_center, "hall-a");
+        }
+        let end = AskEvacuations { end: Some("hall-a".into()), ..list.clone() };
+        assert!(operate(&fleet, &follower, end).await.evacuated.is_empty());
+        assert!(!is_evacuated(&fleet, "hall-a").await);
+    }
+    an_evacuation_that_leaves_a_service_without_endpoints_needs_force => {
+        let fleet = Fleet::start(3).await;
+        let leader = fleet.leader().await;
+        report_endpoint(&fleet, &leader).await;
+        let start = AskEvacuations { start: Some("hall-a".into()), end: None, force: false };
+        let evacuations = operate(&fleet, &leader, start.clone()).await;
+        assert!(evacuations.rejected.is_some());
+        assert!(evacuations.evacuated.is_empty());
+        assert_eq!((evacuations.services[0].endpoints, evacuations.services[0].in_use), (1, 0));
+        let evacuations = operate(&fleet, &leader, AskEvacuations { force: true, ..start }).await;
+        assert_eq!(evacuations.rejected, None);
+        assert!(is_evacuated(&fleet, "hall-a").await);
+    }
     an_evacuation_outlives_the_leader_that_acknowledged_it => {
         let mut fleet = Fleet::start(3).await;
         let (leader, follower) = (fleet.leader().await, fleet.follower().await);
--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -88,6 +88,8 @@
     RemoveControl(RemoveControlOptions),
     /// list requests during which endpoints crashed, or release one: suspects --release REQUEST
     Suspects(SuspectsOptions),
+    /// list evacuated data centres, or start or end an evacuation: evacuations --start DATA_CENTER
+    Evacuations(EvacuationsOptions),
     /// list orders to endpoints, or place one: orders place INSTANCE KIND SUBJECT
     Orders(OrdersOptions),
     /// show the progress of upgrades and planned stops: upgrade status [NAME]
@@ -276,6 +278,22 @@
     pub(crate) release: Option<String>,
 }
 
+/// Lists the data centres whose endpoints get no requests, and how many endpoints of each service stay in use.
+#[derive(Debug, Options)]
+pub(crate) struct EvacuationsOptions {
+    /// print this help
+    pub(crate) help: bool,
+    /// send no more requests to the endpoints of this data centre; what runs there ends in peace
+    #[options(no_short, meta = "DATA_CENTER")]
+    pub(crate) start: Option<String>,
+    /// send requests to the endpoints of this data centre again
+    #[options(no_short, meta = "DATA_CENTER")]
+    pub(crate) end: Option<String>,
+    /// start the evacuation even if a service keeps no endpoint
+    #[options(no_short)]
+    pub(crate) force: bool,
+}
+
 /// Lists orders to endpoints, newest first, or places one.
 #[derive(Debug, Options)]
 pub(crate) struct OrdersOptions {
--- a/crates/ctl/src/commands/mod.rs
+++ b/crates/ctl/src/commands/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod check;
 pub(crate) mod diff;
 pub(crate) mod drain;
+pub(crate) mod evacuations;
 pub(crate) mod explain;
 pub(crate) mod history;
 pub(crate) mod orders;
--- a/crates/ctl/src/control_client.rs
+++ b/crates/ctl/src/control_client.rs
@@ -9,11 +9,11 @@
 
 use hinge_link::{CallError, Client, ClusterKey};
 use hinge_schema::messages::{
-    Accepted, Apply, ApplyReply, AskFolder, AskHistory, AskOrders, AskStatus, AskSuspects,
-    AskUpgrades, ConfigFile, Conflict, Drain, DrainReply, Drains, Folder, FolderReply, History,
-    HistoryReply, Invalid, Orders, OrdersReply, PlaceOrder, RemoveControl, RemoveControlReply,
-    RemovedControl, Status, StatusReply, SuspectRecords, SuspectsReply, Unavailable, Upgrades,
-    UpgradesReply,
+    Accepted, Apply, ApplyReply, AskEvacuations, AskFolder, AskHistory, AskOrders, AskStatus,
+    AskSuspects, AskUpgrades, ConfigFile, Conflict, Drain, DrainReply, Drains, Evacuations,
+    EvacuationsReply, Folder, FolderReply, History, HistoryReply, Invalid, Orders, OrdersReply,
+    PlaceOrder, RemoveControl, RemoveControlReply, RemovedControl, Status, StatusReply,
+    SuspectRecords, SuspectsReply, Unavailable, Upgrades, UpgradesReply,
 };
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -60,6 +60,7 @@
 reply!(UpgradesReply, Upgrades, Upgrades);
 reply!(RemoveControlReply, Removed, RemovedControl);
 reply!(SuspectsReply, Suspects, SuspectRecords);
+reply!(EvacuationsReply, Evacuations, Evacuations);
 
 /// Control's decision on a change.
 #[derive(Debug)]
@@ -190,6 +191,10 @@
         self.call::<_, SuspectsReply>("suspects", query).await
     }
 
+    pub(crate) async fn evacuations(&self, ask: &AskEvacuations) -> Result<Evacuations, NoAnswer> {
+        self.call::<_, EvacuationsReply>("evacuations", ask).await
+    }
+
     async fn query<Q: Serialize, A: Reply>(
         &self,
         call: &str,
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -101,6 +101,9 @@
         Command::RemoveControl(options) => {
             commands::remove_control::run(&options, &control, output).await
         }
+        Command::Evacuations(options) => {
+            commands::evacuations::run(&options, &control, output).await
+        }
         Command::Suspects(options) => commands::suspects::run(&options, &control, output).await,
         Command::Orders(options) => commands::orders::run(options, &control, output).await,
         Command::Upgrade(options) => commands::upgrade::run(&options, &control, output).await,
--- a/crates/ctl/tests/control.rs
+++ b/crates/ctl/tests/control.rs
@@ -288,4 +288,17 @@
         let (exit, out, _) = fixture.run(&["suspects", "--release", &request.to_string()]).await;
         assert_eq!((exit, out.contains("held")), (Exit::Ok, false), "{out}");
     }
+    a_rejected_evacuation_fails_and_says_why => {
+        let fixture = Fixture::start().await;
+        let (exit, out, notes) = fixture.run(&["evacuations"]).await;
+        assert_eq!(exit, Exit::Ok, "{notes}");
+        assert!(out.starts_with("no data centre is evacuated\nSERVICE"), "{out}");
+        let (exit, _, notes) = fixture.run(&["evacuations", "--start", "hall-a"]).await;
+        assert_eq!(exit, Exit::Failed, "{notes}");
+        assert!(notes.contains("hall-a is needed; nothing was changed"), "{notes}");
+        let (exit, _, notes) = fixture.run(&["evacuations", "--start", "hall-a", "--force"]).await;
+        assert_eq!(exit, Exit::Ok, "{notes}");
+        let (exit, _, notes) = fixture.run(&["evacuations", "--start", "hall-a", "--end", "hall-b"]).await;
+        assert_eq!(exit, Exit::Invalid, "{notes}");
+    }
 }
--- a/crates/ctl/tests/fake_control/mod.rs
+++ b/crates/ctl/tests/fake_control/mod.rs
@@ -6,10 +6,11 @@
 
 use hinge_link::{ClusterKey, Limits, Server, ServerHandle, serve_call};
 use hinge_schema::messages::{
-    Apply, ApplyReply, AskFolder, AskHistory, AskOrders, AskStatus, AskSuspects, AskUpgrades,
-    ConfigFile, Drain, DrainReply, Drains, Folder, FolderReply, History, HistoryReply, Member,
-    Orders, OrdersReply, PlaceOrder, RemoveControl, RemoveControlReply, RemovedControl, Role,
-    Status, StatusReply, SuspectRecords, SuspectsReply, Unavailable, Upgrades, UpgradesReply,
+    Apply, ApplyReply, AskEvacuations, AskFolder, AskHistory, AskOrders, AskStatus, AskSuspects,
+    AskUpgrades, ConfigFile, Drain, DrainReply, Drains, Evacuations, EvacuationsReply, Folder,
+    FolderReply, History, HistoryReply, Member, Orders, OrdersReply, PlaceOrder, RemoveControl,
+    RemoveControlReply, RemovedControl, Role, Status, StatusReply, SuspectRecords, SuspectsReply,
+    Unavailable, Upgrades, UpgradesReply,
 };
 use hinge_state::{
     ChangeCommand, Command, DrainCommand, OrderCommand, Reply, State, SuspectsCommand,
@@ -288,6 +289,20 @@
             Ok(SuspectsReply::Suspects(SuspectRecords { suspects }))
         },
     );
+    let router = serve(
+        router,
+        "evacuations",
+        instance,
+        |instance, ask: AskEvacuations| {
+            let state = instance.shared.state.lock().expect("lock is not poisoned");
+            let rejected = ask.start.filter(|_| !ask.force);
+            Ok(EvacuationsReply::Evacuations(Evacuations {
+                evacuated: Vec::new(),
+                services: state.routing().services_in_use(rejected.as_deref()),
+                rejected: rejected.map(|name| format!("{name} is needed").into()),
+            }))
+        },
+    );
     let router = serve(router, "orders", instance, |instance, ask: AskOrders| {
         let state = instance.shared.state.lock().expect("lock is not poisoned");
         let orders = state.orders().list(&ask.instance, 10);
--- a/crates/state/src/routing.rs
+++ b/crates/state/src/routing.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use hinge_routing::{RequestKey, Suspects};
+use hinge_schema::messages::ServiceInUse;
 use hinge_schema::routing::{Endpoint, EndpointList, EndpointState, RouteTable};
 use serde::{Deserialize, Serialize};
 
@@ -266,6 +267,30 @@
         &self.evacuations
     }
 
+    /// Returns for each service how many of its ready endpoints stay in use while `also` is evacuated besides the data centres
+    /// that are.
+    #[must_use]
+    pub fn services_in_use(&self, also: Option<&str>) -> Vec<ServiceInUse> {
+        let mut services: BTreeMap<&str, ServiceInUse> = BTreeMap::new();
+        let ready = self.endpoints.values();
+        let ready = ready.filter(|endpoint| endpoint.state == EndpointState::Ready);
+        for endpoint in ready {
+            let service = services
+                .entry(&*endpoint.service)
+                .or_insert_with(|| ServiceInUse {
+                    service: endpoint.service.clone(),
+                    endpoints: 0,
+                    in_use: 0,
+                });
+            let data_center = &*endpoint.data_center;
+            let is_evacuated =
+                also == Some(data_center) || self.evacuations.get(data_center).is_some();
+            service.endpoints += 1;
+            service.in_use += u32::from(!is_evacuated);
+        }
+        services.into_values().collect()
+    }
+
     /// Applies an order at a log index, and returns whether its data centre is in the ordered state now.
     pub(crate) fn apply_evacuation(&mut self, index: u64, command: EvacuationCommand) -> bool {
         self.evacuations.apply(index, command)
