Choose endpoints, spill, copies and homes by each engine's own pace

Cause: a queued token cost 40 us and a missing one 200 us at every engine, limits after a refusal used the same 40 us, a copy was weighed against 25 us a token, and homes of prefixes were drawn evenly, although engines of one service work at 0.6 to 1.6 of one speed and are slow for moments.

Change: gateways keep the pace that admissions report (`EngineLoad.pace`) for each incarnation, with its age; the moment's rate turns into the usual one within 500 ms. Queued and own tokens, running requests, the time to the first event, missing tokens (five times the time of reading, 400 ms at most, by the usual pace), limits after a refusal and copy or read anew count by it. Homes follow the usual rate by weighted rendezvous hashing. An endpoint of unknown pace counts as its median neighbour; where none is known, constants and choice are those of before. Implausible figures change nothing. The `Request.` line names the pace and its age.

Tests of before are kept; limits after a refusal are stated as the time from which their token figures followed (`left` 500 ms for 12,500 tokens at 40 us).

--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -8,7 +8,7 @@
 
 use hinge_routing::{
     AnswerProgress, Backlog, Candidate, CircuitBreaker, CircuitBreakerRules, CrashTracker,
-    IncarnationHash, RequestKey, WarmUpLimits, WarmUpShare,
+    IncarnationHash, Pace, RequestKey, WarmUpLimits, WarmUpShare,
 };
 use hinge_schema::routing::{Endpoint as Description, EngineLoad};
 use hinge_telemetry::log::Component;
@@ -24,6 +24,9 @@
 use crate::pool::{self, MAX_IDLE, Pool};
 use crate::suspects::{BrokenRequest, Evidence, Suspects};
 
+#[cfg(test)]
+mod tests;
+
 /// Time left to an answer once its endpoint is known to have restarted. What the endpoint sent before may still wait to be read,
 /// and a gateway short of CPU time reads it within a few tens of milliseconds.
 const RESTART_GRACE: Duration = Duration::from_millis(200);
@@ -53,6 +56,8 @@
     sent_since_load: i32,
     /// Load reported by the admission beside the endpoint.
     admission_load: Option<(EngineLoad, Instant)>,
+    /// Last plausible pace that the admission reported.
+    pace: Option<(Pace, Instant)>,
     /// Tokens that each team has used there recently.
     team_usage: HashMap<Box<str>, u64>,
     /// Prompt tokens of this gateway's asks since the admission's last report.
@@ -70,6 +75,15 @@
         (age < MAX_LOAD_AGE).then_some((load, age))
     }
 
+    /// Returns the pace that the admission reported and its age.
+    ///
+    /// It is not outdated by old news: without any, the endpoint counts as working at its usual pace.
+    fn pace(&self) -> Option<(Pace, Duration)> {
+        let (pace, reported_at) = self.pace?;
+        let age = reported_at.elapsed();
+        Some((pace.after(age), age))
+    }
+
     /// Returns whether the admission recently reported that its engine is gone.
     fn engine_is_gone(&self) -> bool {
         let reported = self.fresh_admission_load();
@@ -330,6 +344,7 @@
         has_cached_prefix: bool,
     ) -> (Candidate, u128) {
         let state = self.lock();
+        let pace = state.pace().map(|(pace, _age)| pace);
         let is_warming_up = state.warms_until > self.began.elapsed();
         if let Some((load, age)) = state.fresh_admission_load() {
             let candidate = Candidate {
@@ -340,6 +355,7 @@
                     unread_tokens: load.unread_tokens + state.asked_tokens,
                     waiting_tokens: load.waiting_tokens,
                 },
+                pace,
                 is_local: self.is_in(data_center),
                 has_cached_prefix,
                 is_warming_up,
@@ -365,6 +381,7 @@
                 unread_tokens: state.unread_tokens,
                 waiting_tokens: 0,
             },
+            pace,
             is_local: self.is_in(data_center),
             has_cached_prefix,
             is_warming_up,
@@ -372,6 +389,11 @@
         (candidate, age)
     }
 
+    /// Returns how fast it works, as far as its admission has reported, and the age of that report.
+    pub(crate) fn pace(&self) -> Option<(Pace, Duration)> {
+        self.lock().pace()
+    }
+
     /// Records that a request is sent; dropping the handle records that it has ended.
     pub(crate) fn begin_request(
         self: &Arc<Self>,
@@ -400,7 +422,17 @@
             let teams = load.teams.iter();
             state.team_usage = teams.map(|team| (team.team.clone(), team.tokens)).collect();
         }
-        state.admission_load = Some((load.clone(), Instant::now()));
+        let now = Instant::now();
+        let pace = load.pace.as_ref().and_then(|pace| {
+            let first_event = Duration::from_millis(u64::from(pace.first_event_ms));
+            Pace::reported(
+                pace.prefill_tokens_per_s,
+                pace.usual_tokens_per_s,
+                first_event,
+            )
+        });
+        state.pace = pace.map(|pace| (pace, now)).or(state.pace);
+        state.admission_load = Some((load.clone(), now));
         state.asked_tokens = 0;
         drop(state);
         if let Some(left_ms) = load.warm_up_ms {
--- a/crates/gateway/src/history.rs
+++ b/crates/gateway/src/history.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hinge_routing::{Prompt, StreamOrigin};
+use hinge_routing::{Pace, Prompt, StreamOrigin};
 use hinge_telemetry::log::{Component, Level};
 use hinge_telemetry::record;
 use smallvec::SmallVec;
@@ -37,6 +37,8 @@
     pub(crate) not_sent: u32,
     pub(crate) running: u32,
     pub(crate) load_age_ms: u128,
+    /// Pace with which the chosen endpoint counted, and the age of its report.
+    pub(crate) pace: Option<(Pace, Duration)>,
     pub(crate) candidates: usize,
     /// Whether an endpoint may have run the request; then a refusal must not claim that it did not run.
     pub(crate) may_have_run: bool,
@@ -163,6 +165,8 @@
             candidates = self.candidates,
             running = self.running,
             load_age_ms = self.load_age_ms,
+            pace_tokens_per_s = self.pace.map_or(0, |(pace, _age)| pace.tokens_per_s()),
+            pace_age_ms = self.pace.map_or(0, |(_pace, age)| age.as_millis()),
             table = job.snapshot.table_number(),
             table_age_ms = job.gateway.routing.age().as_millis(),
             list = job.snapshot.endpoints_version(),
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use hinge_routing::{
-    BacklogLimits, Candidate, Holders, Homes, KvSource, Prompt, RequestKey, StreamKey,
-    StreamOrigin, UsageLag, WarmUpLimits, choose_after_refusal, choose_endpoint, choose_kv_source,
+    Candidate, Holders, Homes, KvSource, Prompt, RequestKey, SpillLimits, StreamKey, StreamOrigin,
+    UsageLag, WarmUpLimits, choose_after_refusal, choose_endpoint, choose_kv_source,
     token_copy_time,
 };
 use hinge_schema::routing::{AdmitAsk, AskWarmUp, Engine, Route, WarmUp};
@@ -431,13 +431,13 @@
         }
     }
 
-    /// Returns the backlog up to which an engine is worth trying after another one refused.
-    fn backlog_limits(&self) -> BacklogLimits {
+    /// Returns how much an engine may have to do to be worth trying after another one refused.
+    fn spill_limits(&self) -> SpillLimits {
         let target = Duration::from_millis(self.route.target_latency_ms);
-        let left = target.saturating_sub(self.arrived.elapsed());
-        BacklogLimits {
+        SpillLimits {
             idle_tokens: self.gateway.max_spill_tokens,
-            prefillable_tokens: self.gateway.choice.prefillable_tokens(left),
+            left: target.saturating_sub(self.arrived.elapsed()),
+            own_tokens: self.prompt.as_ref().map_or(0, Prompt::unshared_tokens),
         }
     }
 
@@ -484,9 +484,11 @@
             .map(|endpoint| KvSource {
                 hash: endpoint.hash,
                 incarnation: endpoint.incarnation,
+                pace: endpoint.pace().map(|(pace, _age)| pace),
             })
             .collect();
-        let index = choose_kv_source(&sources, &holders, prompt, copy_token)?;
+        let pace = endpoint.pace().map(|(pace, _age)| pace);
+        let index = choose_kv_source(&sources, &holders, prompt, copy_token, pace)?;
         let source = usable[index].description.address;
         (source != endpoint.description.address).then_some(source)
     }
@@ -562,7 +564,7 @@
         let index = if history.refused.is_empty() {
             choose_endpoint(&candidates, prompt, far_bytes, rules, draw)
         } else {
-            let limits = self.backlog_limits();
+            let limits = self.spill_limits();
             choose_after_refusal(
                 &candidates,
                 prompt,
@@ -578,6 +580,7 @@
         };
         history.running = candidates[index].running;
         history.load_age_ms = ages[index];
+        history.pace = usable[index].pace();
         Choice::Endpoint(Arc::clone(usable[index]))
     }
 }
--- a/crates/routing/src/choose.rs
+++ b/crates/routing/src/choose.rs
@@ -3,14 +3,17 @@
 //! Prompts share long prefixes, and prefilling one again costs an engine more than everything else that a
 //! request does. Many gateways choose at once without seeing each other's choices. Each shared prefix
 //! therefore has a few *homes*, which every gateway computes alike from the ids of the endpoints (rendezvous
-//! hashing). A request goes to the cheapest home, and elsewhere only where the load of the homes costs more
-//! than prefilling the prefix again.
+//! hashing), so that a faster endpoint is the home of more prefixes. A request goes to the cheapest home, and
+//! elsewhere only where the load of the homes costs more than prefilling the prefix again. Costs are in time,
+//! by the pace of each endpoint.
 
 use std::time::Duration;
 
 use smallvec::SmallVec;
 
-use crate::usage_lag::{Backlog, BacklogLimits, UsageLag};
+use crate::pace::{Pace, neighbour_pace};
+use crate::prefix_homes::{Contender, rank_homes};
+use crate::usage_lag::{Backlog, SpillLimits, UsageLag};
 
 /// One part of a prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -70,6 +73,8 @@
     pub slots: u32,
     /// Prompt tokens queued there.
     pub backlog: Backlog,
+    /// How fast it works, if that is known.
+    pub pace: Option<Pace>,
     /// Whether it is in this gateway's data centre.
     pub is_local: bool,
     /// Whether it has processed the shared prefix recently, as far as this gateway has seen.
@@ -83,11 +88,14 @@
 pub struct ChoiceRules {
     /// Number of homes of a shared prefix.
     pub home_count: usize,
-    /// Cost of one queued token, which is prefilled first.
+    /// Cost of one queued token, which is prefilled first, at an endpoint of unknown pace.
     pub backlog_token_us: u64,
-    /// Cost of one token of the shared prefix that would have to be prefilled again.
+    /// Cost of one token of the shared prefix that would have to be prefilled again, at an endpoint of unknown pace.
     pub missing_token_us: u64,
-    /// Cost of one running request: it slows down every step, and its prompt may be prefilled first.
+    /// Highest cost of such tokens at an endpoint of known pace.
+    pub max_missing_us: u64,
+    /// Cost of one running request at an endpoint of unknown pace: it slows down every step, and its prompt may be
+    /// prefilled first.
     pub running_us: u64,
     /// Cost of a request that would have to wait for a slot.
     pub waiting_us: u64,
@@ -102,8 +110,10 @@
 impl Default for ChoiceRules {
     /// Returns the defaults.
     ///
-    /// An engine prefills some 25 to 45 tokens per millisecond, hence 40 µs per queued token. Prefilling a
-    /// prefix again delays other callers of the engine as well, and the most requests are on time with a cost
+    /// An engine of unknown pace prefills some 25 to 45 tokens per millisecond, hence 40 µs per queued token; at one of
+    /// known pace all costs of tokens and running requests are in proportion to its time per token. Callers wait
+    /// some 500 ms for a first event, so that an idle endpoint must cost less than one with such a queue, however
+    /// long the prefix. Prefilling a prefix again delays other callers of the engine as well, and the most requests are on time with a cost
     /// of 100 µs or more per missing token. A second home would halve the load of a hot prefix, but the cache
     /// memory is reused before either home sees the prefix again. A running request adds some 2 ms; beyond
     /// the slots, a request waits for another one to end. Leaving the data centre costs a round trip and the
@@ -115,6 +125,7 @@
             home_count: 1,
             backlog_token_us: 40,
             missing_token_us: 200,
+            max_missing_us: 400_000,
             running_us: 2_000,
             waiting_us: 60_000,
             remote_us: 8_000,
@@ -124,12 +135,54 @@
     }
 }
 
-impl ChoiceRules {
-    /// Returns how many tokens an engine prefills in a given time, by the cost of a queued token.
-    #[must_use]
-    pub fn prefillable_tokens(&self, time: Duration) -> u32 {
-        let tokens = time.as_micros() / u128::from(self.backlog_token_us.max(1));
-        u32::try_from(tokens).unwrap_or(u32::MAX)
+/// What a choice knows of one endpoint's pace.
+#[derive(Debug, Clone, Copy)]
+struct Costs<'a> {
+    rules: &'a ChoiceRules,
+    pace: Option<Pace>,
+}
+
+impl Costs<'_> {
+    /// Returns a cost that is stated for an endpoint of unknown pace, in proportion to the endpoint's time per token.
+    fn scaled_us(&self, pace: Option<Pace>, cost_us: u64) -> u64 {
+        pace.map_or(cost_us, |pace| {
+            pace.prefill_us(cost_us) / self.rules.backlog_token_us.max(1)
+        })
+    }
+
+    /// Returns the cost of the requests and tokens that are ahead of a new request.
+    fn load_us(&self, candidate: &Candidate) -> u64 {
+        let rules = self.rules;
+        let free = candidate.slots.saturating_sub(1);
+        let waiting = u64::from(candidate.running.saturating_sub(free));
+        let running = u64::from(candidate.running) * rules.running_us;
+        let backlog = u64::from(candidate.backlog.tokens()) * rules.backlog_token_us;
+        self.scaled_us(self.pace, running.saturating_add(backlog))
+            .saturating_add(waiting * rules.waiting_us)
+            .saturating_add(u64::from(candidate.is_warming_up) * rules.warm_up_us)
+    }
+
+    /// Returns the time of the request's own tokens, up to the first event.
+    fn own_us(&self, tokens: u32) -> u64 {
+        let prefill = u64::from(tokens) * self.rules.backlog_token_us;
+        let first_event = self.pace.map_or(Duration::ZERO, Pace::first_event);
+        let first_event = u64::try_from(first_event.as_micros()).unwrap_or(u64::MAX);
+        self.scaled_us(self.pace, prefill)
+            .saturating_add(first_event)
+    }
+
+    /// Returns the cost of tokens that would have to be prefilled again.
+    ///
+    /// They take capacity from others, which a slow moment doesn't change.
+    fn missing_us(&self, tokens: u64) -> u64 {
+        let cost = tokens * self.rules.missing_token_us;
+        match self.pace {
+            Some(pace) => {
+                let cost = self.scaled_us(Some(pace.usual()), cost);
+                cost.min(self.rules.max_missing_us)
+            }
+            None => cost,
+        }
     }
 }
 
@@ -151,7 +204,12 @@
     draw: u64,
 ) -> Option<usize> {
     let shared = prompt.and_then(Prompt::shared_key);
-    let homes = shared.map(|(key, _)| homes_of(candidates, key, rules.home_count + 1));
+    let neighbours = neighbour_pace(candidates.iter().map(|candidate| candidate.pace));
+    let contenders = candidates
+        .iter()
+        .map(|candidate| Contender::new(candidate.hash, candidate.pace, neighbours));
+    let homes = shared.map(|(key, _)| rank_homes(contenders, key, rules.home_count + 1));
+    let own_tokens = prompt.map_or(0, Prompt::unshared_tokens);
     let costs = candidates.iter().enumerate().map(|(index, candidate)| {
         let tokens = shared.map_or(0, |(_, tokens)| u64::from(tokens));
         let homes = homes.as_ref();
@@ -164,9 +222,15 @@
             Some(_next) => tokens * 3 / 4,
             None => tokens,
         };
-        let cost = load_us(candidate, rules)
-            + remote_us(candidate, remote_bytes, rules)
-            + missing * rules.missing_token_us;
+        let costs = Costs {
+            rules,
+            pace: candidate.pace.or(neighbours),
+        };
+        let cost = costs
+            .load_us(candidate)
+            .saturating_add(costs.own_us(own_tokens))
+            .saturating_add(costs.missing_us(missing))
+            .saturating_add(remote_us(candidate, remote_bytes, rules));
         (cost, mix(draw ^ candidate.hash), index)
     });
     costs.min().map(|(_, _, index)| index)
@@ -185,34 +249,25 @@
     remote_bytes: u64,
     rules: &ChoiceRules,
     lag: UsageLag,
-    limits: BacklogLimits,
+    limits: SpillLimits,
     draw: u64,
 ) -> Option<usize> {
+    let neighbours = neighbour_pace(candidates.iter().map(|candidate| candidate.pace));
+    let may_try = |candidate: &Candidate| {
+        let limits = limits.at(candidate.pace.or(neighbours), rules);
+        lag.may_try(candidate.backlog, limits)
+    };
     if lag == UsageLag::Even {
         let chosen = choose_endpoint(candidates, prompt, remote_bytes, rules, draw)?;
-        return lag
-            .may_try(candidates[chosen].backlog, limits)
-            .then_some(chosen);
+        return may_try(&candidates[chosen]).then_some(chosen);
     }
     let indexes = candidates.iter().copied().enumerate();
-    let eligible = indexes.filter(|(_, candidate)| lag.may_try(candidate.backlog, limits));
+    let eligible = indexes.filter(|(_, candidate)| may_try(candidate));
     let (indexes, eligible): (Vec<usize>, Vec<Candidate>) = eligible.unzip();
     let chosen = choose_endpoint(&eligible, prompt, remote_bytes, rules, draw)?;
     Some(indexes[chosen])
 }
 
-fn load_us(candidate: &Candidate, rules: &ChoiceRules) -> u64 {
-    let waiting = u64::from(
-        candidate
-            .running
-            .saturating_sub(candidate.slots.saturating_sub(1)),
-    );
-    u64::from(candidate.running) * rules.running_us
-        + waiting * rules.waiting_us
-        + u64::from(candidate.backlog.tokens()) * rules.backlog_token_us
-        + u64::from(candidate.is_warming_up) * rules.warm_up_us
-}
-
 fn remote_us(candidate: &Candidate, bytes: u64, rules: &ChoiceRules) -> u64 {
     if candidate.is_local {
         0
@@ -221,15 +276,6 @@
     }
 }
 
-fn homes_of(candidates: &[Candidate], key: u64, count: usize) -> SmallVec<[usize; 4]> {
-    let ranked = candidates.iter().enumerate();
-    let mut ranked: SmallVec<[(u64, usize); 16]> = ranked
-        .map(|(index, candidate)| (home_rank(key, candidate.hash), index))
-        .collect();
-    ranked.sort_unstable_by(|a, b| b.cmp(a));
-    ranked.iter().take(count).map(|(_, index)| *index).collect()
-}
-
 /// Mixes the bits of a number (the finaliser of `SplitMix64`).
 fn mix(value: u64) -> u64 {
     let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
--- a/crates/routing/src/kv_source.rs
+++ b/crates/routing/src/kv_source.rs
@@ -8,9 +8,11 @@
 use std::time::Duration;
 
 use crate::cached_prefixes::IncarnationHash;
-use crate::choose::{Prompt, home_rank};
+use crate::choose::Prompt;
+use crate::pace::{Pace, neighbour_pace};
+use crate::prefix_homes::{Contender, rank_homes};
 
-/// Time in which an engine prefills a token under load, at 25 to 45 tokens per millisecond.
+/// Time in which an engine of unknown pace prefills a token under load, at 25 to 45 tokens per millisecond.
 const PREFILL_TIME_PER_TOKEN: Duration = Duration::from_micros(25);
 
 /// Time that a copy takes whatever its size: a round trip and a step of each engine.
@@ -23,6 +25,8 @@
     pub hash: u64,
     /// Hash of its current incarnation.
     pub incarnation: IncarnationHash,
+    /// How fast it works, if that is known.
+    pub pace: Option<Pace>,
 }
 
 /// Returns the time to copy the KV cache of one token, by its size and the bandwidth of the link.
@@ -37,17 +41,21 @@
 ///
 /// `holders` processed the prefix recently, most recent use first; the first one is the most likely to still
 /// have it. Where no holder is known, the source is the first endpoint in rank, which is the prefix's home. A
-/// source that no longer has the prefix costs only the setup of the copy.
+/// source that no longer has the prefix costs only the setup of the copy. `pace` is that of the engine that would
+/// prefill it otherwise.
 #[must_use]
 pub fn choose_kv_source(
     sources: &[KvSource],
     holders: &[IncarnationHash],
     prompt: &Prompt,
     copy_token: Duration,
+    pace: Option<Pace>,
 ) -> Option<usize> {
     let (key, tokens) = prompt.shared_key()?;
-    let saved = PREFILL_TIME_PER_TOKEN.saturating_sub(copy_token) * tokens;
-    if saved <= COPY_SETUP {
+    let prefill = pace.map_or(PREFILL_TIME_PER_TOKEN * tokens, |pace| {
+        Duration::from_micros(pace.prefill_us(u64::from(tokens)))
+    });
+    if prefill.saturating_sub(copy_token * tokens) <= COPY_SETUP {
         return None;
     }
     let index_of = |holder: &IncarnationHash| {
@@ -55,9 +63,11 @@
         sources.position(|source| source.incarnation == *holder)
     };
     let home = || {
-        let ranked = sources.iter().enumerate();
-        let best = ranked.max_by_key(|(_, source)| home_rank(key, source.hash));
-        best.map(|(index, _)| index)
+        let neighbours = neighbour_pace(sources.iter().map(|source| source.pace));
+        let contenders = sources
+            .iter()
+            .map(|source| Contender::new(source.hash, source.pace, neighbours));
+        rank_homes(contenders, key, 1).first().copied()
     };
     holders.iter().find_map(index_of).or_else(home)
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`RouteIndex`] finds the route and the team of a request, in a table that [`check_table`] accepts.
 //! - [`choose_endpoint`] chooses the endpoint of a request, and [`choose_after_refusal`] another one if that
 //!   refuses.
+//! - [`Pace`] tells how fast an endpoint works, by which both of them count its load and its share of the homes.
 //! - [`UsageLag`] decides which endpoints a refused request may still try.
 //! - [`CachedPrefixes`] remembers which endpoints have a prompt prefix cached, and [`choose_kv_source`] where
 //!   to copy it from.
@@ -31,9 +32,11 @@
 mod kv_source;
 mod load_interval;
 mod overload;
+mod pace;
 mod part_evidence;
 mod peer_gateways;
 mod peer_list;
+mod prefix_homes;
 mod request_key;
 mod retry_budget;
 mod route_index;
@@ -56,6 +59,7 @@
 pub use kv_source::{KvSource, choose_kv_source, token_copy_time};
 pub use load_interval::load_interval;
 pub use overload::{OverloadControl, OverloadRules, Overloaded};
+pub use pace::Pace;
 pub use part_evidence::{AnswerProgress, PartEvidence};
 pub use peer_gateways::PeerGateways;
 pub use peer_list::PeerList;
@@ -64,5 +68,5 @@
 pub use route_index::RouteIndex;
 pub use stream_origins::{Known, StreamKey, StreamOrigin, StreamOrigins};
 pub use suspects::Suspects;
-pub use usage_lag::{Backlog, BacklogLimits, UsageLag};
+pub use usage_lag::{Backlog, BacklogLimits, SpillLimits, UsageLag};
 pub use warm_up::{WarmUp, WarmUpLimits, WarmUpShare};
--- a/crates/routing/src/usage_lag.rs
+++ b/crates/routing/src/usage_lag.rs
@@ -6,6 +6,14 @@
 //! may therefore try engines that are not idle as well: their queues place it ahead of the other team's
 //! requests.
 
+use std::time::Duration;
+
+use crate::choose::ChoiceRules;
+use crate::pace::Pace;
+
+/// Time in which an engine of usual pace prefills a token of a small backlog, at 40 tokens per millisecond.
+const IDLE_TOKEN_TIME: Duration = Duration::from_micros(25);
+
 /// The prompt tokens queued at an engine.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Backlog {
@@ -33,6 +41,36 @@
     pub prefillable_tokens: u32,
 }
 
+/// How much an engine may have to do before a request that another engine refused, whichever engine it is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SpillLimits {
+    /// Backlog up to which an engine of unknown pace counts as nearly idle.
+    pub idle_tokens: u32,
+    /// Time left until the answer must begin.
+    pub left: Duration,
+    /// Prompt tokens of the request that no other request shares.
+    pub own_tokens: u32,
+}
+
+impl SpillLimits {
+    /// Returns the limits for an engine, by its pace.
+    #[must_use]
+    pub fn at(self, pace: Option<Pace>, rules: &ChoiceRules) -> BacklogLimits {
+        let Some(pace) = pace else {
+            let tokens = self.left.as_micros() / u128::from(rules.backlog_token_us.max(1));
+            return BacklogLimits {
+                idle_tokens: self.idle_tokens,
+                prefillable_tokens: u32::try_from(tokens).unwrap_or(u32::MAX),
+            };
+        };
+        let left = self.left.saturating_sub(pace.first_event());
+        BacklogLimits {
+            idle_tokens: pace.tokens_in(IDLE_TOKEN_TIME * self.idle_tokens),
+            prefillable_tokens: pace.tokens_in(left).saturating_sub(self.own_tokens),
+        }
+    }
+}
+
 /// How far a team's usage lags behind that of the team with the highest usage.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum UsageLag {
--- a/crates/routing/tests/choose.rs
+++ b/crates/routing/tests/choose.rs
@@ -5,8 +5,8 @@
 
 use hinge_cases::cases;
 use hinge_routing::{
-    Backlog, BacklogLimits, Candidate, ChoiceRules, CircuitBreaker, CircuitBreakerRules, Prompt,
-    PromptPart, RetryBudget, RetryBudgetRules, UsageLag, choose_after_refusal, choose_endpoint,
+    Backlog, Candidate, ChoiceRules, CircuitBreaker, CircuitBreakerRules, Prompt, PromptPart,
+    RetryBudget, RetryBudgetRules, SpillLimits, UsageLag, choose_after_refusal, choose_endpoint,
 };
 use quickcheck::quickcheck;
 
@@ -23,6 +23,7 @@
         running: 0,
         slots: 64,
         backlog: Backlog::default(),
+        pace: None,
         is_local: true,
         has_cached_prefix: false,
         is_warming_up: false,
@@ -42,10 +43,11 @@
 }
 
 /// Returns limits that only an idle engine meets, for a request without time left.
-fn idle_only() -> BacklogLimits {
-    BacklogLimits {
+fn idle_only() -> SpillLimits {
+    SpillLimits {
         idle_tokens: 3_000,
-        prefillable_tokens: 0,
+        left: Duration::ZERO,
+        own_tokens: 2_000,
     }
 }
 
@@ -158,8 +160,7 @@
         engines[6].backlog.unread_tokens = 9_000;
         let prompt = prompt(5, 100);
         let after = |left_ms| {
-            let prefillable_tokens = rules.prefillable_tokens(Duration::from_millis(left_ms));
-            let limits = BacklogLimits { prefillable_tokens, ..idle_only() };
+            let limits = SpillLimits { left: Duration::from_millis(left_ms), ..idle_only() };
             choose_after_refusal(&engines, Some(&prompt), 10_000, &rules, UsageLag::Behind, limits, 0)
         };
         assert_eq!(after(0), None);
@@ -175,7 +176,8 @@
         }
         engines[2].backlog = Backlog { unread_tokens: 3_000, waiting_tokens: 11_000 };
         engines[5].backlog = Backlog { unread_tokens: 13_000, waiting_tokens: 0 };
-        let limits = BacklogLimits { prefillable_tokens: 12_500, ..idle_only() };
+        // An engine of unknown pace prefills 12,500 tokens in this time.
+        let limits = SpillLimits { left: Duration::from_millis(500), ..idle_only() };
         let after = |lag| choose_after_refusal(&engines, None, 0, &ChoiceRules::default(), lag, limits, 0);
         assert_eq!(after(UsageLag::Even), None, "it would wait behind them");
         assert_eq!(after(UsageLag::Behind), Some(2), "the lowest backlog of those it may try");
--- a/crates/routing/tests/kv_source.rs
+++ b/crates/routing/tests/kv_source.rs
@@ -35,6 +35,7 @@
         .map(|number| KvSource {
             hash: number * 7_919 + 3,
             incarnation: number * 7_919 + 3,
+            pace: None,
         })
         .collect()
 }
@@ -58,6 +59,7 @@
                 running: 0,
                 slots: 64,
                 backlog: Backlog::default(),
+                pace: None,
                 is_local: true,
                 has_cached_prefix: false,
                 is_warming_up: false,
@@ -68,34 +70,34 @@
         candidates[home].backlog.unread_tokens = 60_000;
         let other = choose_endpoint(&candidates, Some(&prompt), 0, &rules, 0).expect("there are engines");
         assert_ne!(other, home);
-        assert_eq!(choose_kv_source(&sources, &[], &prompt, COPY_TOKEN), Some(home));
+        assert_eq!(choose_kv_source(&sources, &[], &prompt, COPY_TOKEN, None), Some(home));
     }
     a_home_without_the_prefix_copies_it_from_its_last_holder => {
         // The home restarted with an empty cache; meanwhile the prefix was used at the next engine in rank,
         // and then at a third one.
         let sources = sources(9);
         let prompt = prompt(5, 5_382);
-        let home = choose_kv_source(&sources, &[], &prompt, COPY_TOKEN).expect("there are engines");
+        let home = choose_kv_source(&sources, &[], &prompt, COPY_TOKEN, None).expect("there are engines");
         let (next, third) = ((home + 1) % 9, (home + 2) % 9);
         let mut cached = CachedPrefixes::default();
         let (key, _) = prompt.shared_key().expect("it shares parts");
         cached.record(Duration::from_secs(1), key, sources[next].hash);
         cached.record(Duration::from_secs(2), key, sources[third].hash);
         let holders = cached.holders(Duration::from_secs(3), key);
-        assert_eq!(choose_kv_source(&sources, &holders, &prompt, COPY_TOKEN), Some(third));
+        assert_eq!(choose_kv_source(&sources, &holders, &prompt, COPY_TOKEN, None), Some(third));
         // An ejected holder is no source; the holder before it is.
         let left: Vec<KvSource> = sources
             .iter()
             .copied()
             .filter(|source| source.hash != sources[third].hash)
             .collect();
-        let index = choose_kv_source(&left, &holders, &prompt, COPY_TOKEN).expect("there are engines");
+        let index = choose_kv_source(&left, &holders, &prompt, COPY_TOKEN, None).expect("there are engines");
         assert_eq!(left[index], sources[next]);
     }
     a_restarted_engine_has_nothing_cached_and_stays_the_home => {
         let mut sources = sources(9);
         let prompt = prompt(5, 5_382);
-        let home = choose_kv_source(&sources, &[], &prompt, COPY_TOKEN).expect("there are engines");
+        let home = choose_kv_source(&sources, &[], &prompt, COPY_TOKEN, None).expect("there are engines");
         let next = (home + 1) % 9;
         let (key, _) = prompt.shared_key().expect("it shares parts");
         let mut cached = CachedPrefixes::default();
@@ -104,8 +106,8 @@
         sources[home].incarnation += 1;
         let holders = cached.holders(Duration::from_secs(3), key);
         assert!(!holders.contains(&sources[home].incarnation));
-        assert_eq!(choose_kv_source(&sources, &holders, &prompt, COPY_TOKEN), Some(next));
-        assert_eq!(choose_kv_source(&sources, &[], &prompt, COPY_TOKEN), Some(home));
+        assert_eq!(choose_kv_source(&sources, &holders, &prompt, COPY_TOKEN, None), Some(next));
+        assert_eq!(choose_kv_source(&sources, &[], &prompt, COPY_TOKEN, None), Some(home));
     }
     a_prefix_that_was_not_used_for_long_counts_as_evicted => {
         let mut cached = CachedPrefixes::default();
@@ -129,15 +131,15 @@
         assert!(cached.len() <= 4_096);
     }
     a_short_prefix_is_prefilled_again_rather_than_copied => {
-        assert_eq!(choose_kv_source(&sources(9), &[], &prompt(5, 198), COPY_TOKEN), None);
-        assert!(choose_kv_source(&sources(9), &[], &prompt(5, 568), COPY_TOKEN).is_some());
+        assert_eq!(choose_kv_source(&sources(9), &[], &prompt(5, 198), COPY_TOKEN, None), None);
+        assert!(choose_kv_source(&sources(9), &[], &prompt(5, 568), COPY_TOKEN, None).is_some());
     }
     a_prefix_is_prefilled_again_where_the_link_is_slow => {
         let slow = Duration::from_micros(40);
-        assert_eq!(choose_kv_source(&sources(9), &[], &prompt(5, 5_382), slow), None);
+        assert_eq!(choose_kv_source(&sources(9), &[], &prompt(5, 5_382), slow, None), None);
     }
     nothing_is_copied_without_sources_or_a_shared_prefix => {
-        assert_eq!(choose_kv_source(&[], &[], &prompt(5, 5_382), COPY_TOKEN), None);
-        assert_eq!(choose_kv_source(&sources(9), &[], &Prompt::default(), COPY_TOKEN), None);
+        assert_eq!(choose_kv_source(&[], &[], &prompt(5, 5_382), COPY_TOKEN, None), None);
+        assert_eq!(choose_kv_source(&sources(9), &[], &Prompt::default(), COPY_TOKEN, None), None);
     }
 }
