A long prefix at its highest price overflows to the next endpoint in rank

Cause: the bound on the price of missing tokens was applied after the discount of the next endpoint in rank, so that a prefix of more than the bound cost the same everywhere and spread over all idle endpoints. Change: the discount is taken from the bounded price.

--- a/crates/routing/src/choose.rs
+++ b/crates/routing/src/choose.rs
@@ -174,14 +174,35 @@
     /// Returns the cost of tokens that would have to be prefilled again.
     ///
     /// They take capacity from others, which a slow moment doesn't change.
-    fn missing_us(&self, tokens: u64) -> u64 {
-        let cost = tokens * self.rules.missing_token_us;
-        match self.pace {
-            Some(pace) => {
-                let cost = self.scaled_us(Some(pace.usual()), cost);
-                cost.min(self.rules.max_missing_us)
-            }
-            None => cost,
+    fn missing_us(&self, missing: Missing, tokens: u64) -> u64 {
+        let price = self.rules.missing_token_us;
+        let Some(pace) = self.pace else {
+            return missing.part(tokens) * price;
+        };
+        let cost = self.scaled_us(Some(pace.usual()), tokens * price);
+        missing.part(cost.min(self.rules.max_missing_us))
+    }
+}
+
+/// Whether an endpoint has to prefill the shared prefix again.
+#[derive(Debug, Clone, Copy)]
+enum Missing {
+    /// It is the prefix's home or has prefilled it recently.
+    Nothing,
+    /// It is the next endpoint in rank.
+    Next,
+    All,
+}
+
+impl Missing {
+    /// Returns the part of a cost that counts.
+    ///
+    /// Requests that leave the homes go to the next endpoint in rank, so that it has the prefix cached the next time.
+    fn part(self, cost: u64) -> u64 {
+        match self {
+            Self::Nothing => 0,
+            Self::Next => cost * 3 / 4,
+            Self::All => cost,
         }
     }
 }
@@ -214,13 +235,11 @@
         let tokens = shared.map_or(0, |(_, tokens)| u64::from(tokens));
         let homes = homes.as_ref();
         let rank = homes.and_then(|homes| homes.iter().position(|home| *home == index));
-        // Requests that leave the homes go to the next endpoint in rank, so that it has the prefix cached the
-        // next time.
         let missing = match rank {
-            _ if candidate.has_cached_prefix => 0,
-            Some(rank) if rank < rules.home_count => 0,
-            Some(_next) => tokens * 3 / 4,
-            None => tokens,
+            _ if candidate.has_cached_prefix => Missing::Nothing,
+            Some(rank) if rank < rules.home_count => Missing::Nothing,
+            Some(_next) => Missing::Next,
+            None => Missing::All,
         };
         let costs = Costs {
             rules,
@@ -229,7 +248,7 @@
         let cost = costs
             .load_us(candidate)
             .saturating_add(costs.own_us(own_tokens))
-            .saturating_add(costs.missing_us(missing))
+            .saturating_add(costs.missing_us(missing, tokens))
             .saturating_add(remote_us(candidate, remote_bytes, rules));
         (cost, mix(draw ^ candidate.hash), index)
     });
--- a/crates/routing/tests/pace.rs
+++ b/crates/routing/tests/pace.rs
@@ -182,6 +182,17 @@
             assert_ne!(chosen(&engines, &request), home);
         }
     }
+    a_long_prefix_overflows_to_one_further_engine => {
+        for speed in SPEEDS.into_iter().chain([10_000]) {
+            let mut engines = engines(12, |_| Some(pace(speed)));
+            let request = prompt(5, 40_000, 2_000);
+            let home = chosen(&engines, &request);
+            engines[home].backlog.unread_tokens = pace(speed).tokens_in(Duration::from_secs(1));
+            let rules = ChoiceRules::default();
+            let next = |draw| choose_endpoint(&engines, Some(&request), 0, &rules, draw);
+            assert!((1..50).all(|draw| next(draw) == next(0)), "{speed}");
+        }
+    }
     an_engine_of_unknown_pace_counts_as_its_median_neighbour => {
         let mut engines = engines(9, |number| Some(three_speeds(number)));
         let request = prompt(5, 0, 2_890);
