Admission: pace of an engine from its answers, and grant depth in time

Cause: an admission granted 1,000 unread tokens to any engine. One that prefills 55 to 147 tokens a ms and answers the first event 53 ms later had 7 to 18 ms of work and then idled until news; the measured rate counted that idle time as work.

Change: a pure module, Pace, measures the rate from first events over spans in which the engine had work at hand (other spans only raise it), and the feedback delay. Where the floor of 1,000 tokens doesn't cover the feedback delay, prompts are granted while the work ahead is below that delay plus 25 ms. Below the floor grants are as before, unless answers are due for much more work than reports show. Lateness uses the measured pace, once there is one, and gateways are told it (EngineLoad.pace).

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -8,6 +8,7 @@
 mod cache;
 mod engine;
 mod order;
+mod pace;
 mod prefill_rate;
 mod queue;
 mod request;
@@ -18,6 +19,7 @@
 
 pub use cache::PrefixCache;
 pub use engine::{Engine, EngineReport, EngineRequest, ReportOutcome};
+pub use pace::Pace;
 pub use prefill_rate::PrefillRate;
 pub use queue::AdmissionQueue;
 pub use request::{Decision, Load, QueueLimits, RefusalCause, SlotRequest, SlotRequestId};
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -17,6 +17,7 @@
 use crate::cache::PrefixCache;
 use crate::engine::{EngineReport, EngineRequest};
 use crate::order::{TeamStanding, WaitingRequest, scheduling_order};
+use crate::pace::Pace;
 use crate::prefill_rate::PrefillRate;
 use crate::request::{Decision, Load, QueueLimits, RefusalCause, SlotRequest, SlotRequestId};
 use crate::turn::max_wait_permille;
@@ -102,6 +103,7 @@
     engine_restarted: bool,
     cache: PrefixCache,
     prefill_rate: PrefillRate,
+    pace: Pace,
     /// Measured time from the end of prefill to the first event.
     first_event_delay: Duration,
     /// Number of entries of `running` whose slots were released.
@@ -131,6 +133,7 @@
             warm_up: WarmUp::default(),
             engine_restarted: false,
             prefill_rate: PrefillRate::new(),
+            pace: Pace::new(),
             first_event_delay: INITIAL_FIRST_EVENT_DELAY,
             released_count: 0,
             lost: Vec::new(),
@@ -155,6 +158,7 @@
             return;
         };
         running.has_begun = true;
+        self.pace.answered(now, id);
         if let Some(prefilled_at) = running.prefilled_at {
             let sample = now.saturating_sub(prefilled_at);
             self.first_event_delay = (self.first_event_delay * 7 + sample) / 8;
@@ -191,7 +195,7 @@
             .map(|request| (&*request.request_id, request))
             .collect();
         let (mut prefilled, mut added) = (0, 0);
-        for running in self.running.values_mut() {
+        for (id, running) in &mut self.running {
             let reported = requests.get(&*running.request.request_id);
             let Some(reported) = reported.filter(|_| !running.has_begun && !running.is_released)
             else {
@@ -203,7 +207,11 @@
                 .saturating_sub(reported.kv_tokens);
             let unread = if reported.events > 0 { 0 } else { unread };
             // A prefix that was assumed to be cached and isn't shows here first.
-            added += unread.saturating_sub(running.unread_tokens);
+            let newly_added = unread.saturating_sub(running.unread_tokens);
+            if newly_added > 0 {
+                self.pace.raise_tokens(*id, newly_added);
+            }
+            added += newly_added;
             let newly_prefilled = running.unread_tokens.saturating_sub(unread);
             prefilled += newly_prefilled;
             running.prefilled_tokens += newly_prefilled;
@@ -245,6 +253,7 @@
     /// Records that a request has ended, or that its caller no longer waits.
     pub fn request_ended(&mut self, now: Duration, id: SlotRequestId) {
         self.waiting.retain(|waiting| waiting.id != id);
+        self.pace.removed(id);
         let Some(running) = self.running.remove(&id) else {
             return;
         };
@@ -279,7 +288,7 @@
         }
         let mut decisions = Vec::new();
         self.refuse_late(now, &mut decisions);
-        while self.has_room() && self.warm_up.wait(now, 0).is_zero() {
+        while self.has_room(now) && self.warm_up.wait(now, 0).is_zero() {
             let Some(next) = self.scheduling_order(now).first().copied() else {
                 break;
             };
@@ -318,7 +327,16 @@
     /// Returns the measured time from the end of prefill to the first event.
     #[must_use]
     pub fn first_event_delay(&self) -> Duration {
-        self.first_event_delay
+        let delay = self.pace.feedback_delay();
+        delay
+            .filter(|_| self.pace.is_measured())
+            .unwrap_or(self.first_event_delay)
+    }
+
+    /// Returns the engine's pace.
+    #[must_use]
+    pub fn pace(&self) -> &Pace {
+        &self.pace
     }
 
     /// Returns the recent usage of the teams at this engine.
@@ -339,13 +357,43 @@
         !self.waiting.is_empty()
     }
 
-    fn has_room(&self) -> bool {
+    fn has_room(&self, now: Duration) -> bool {
         let running = self.running_count();
-        self.unread_tokens < self.limits.max_unread_tokens
+        self.may_add_work(now, 0)
             && running < self.limits.max_running
             && (running == 0 || self.running_kv_tokens < self.limits.kv_tokens)
     }
 
+    /// Returns whether more work may be granted behind that of the engine and some further tokens.
+    fn may_add_work(&self, now: Duration, tokens: u64) -> bool {
+        let deadlines = self.waiting.iter();
+        let deadlines = deadlines.map(|waiting| waiting.queued_at + waiting.request.budget);
+        let earliest = deadlines.min().unwrap_or(Duration::MAX);
+        let shortest_budget = earliest.saturating_sub(now);
+        let (unread, floor) = (self.unread_tokens, self.limits.max_unread_tokens);
+        self.pace
+            .has_room(now, tokens, unread, floor, shortest_budget)
+    }
+
+    /// Returns the time in which the engine prefills some tokens.
+    fn time_for(&self, now: Duration, tokens: u64) -> Duration {
+        if self.pace.is_measured() {
+            self.pace.time_for(now, tokens)
+        } else {
+            self.prefill_rate.time_for(tokens)
+        }
+    }
+
+    /// Returns the time in which the engine prefills all that was granted and some further tokens.
+    fn time_until_prefilled(&self, now: Duration, tokens: u64) -> Duration {
+        if self.pace.is_measured() {
+            self.pace.longest_work_ahead(now) + self.pace.time_for(now, tokens)
+        } else {
+            self.prefill_rate
+                .time_for(u64::from(self.unread_tokens) + tokens)
+        }
+    }
+
     fn running_count(&self) -> u32 {
         u32::try_from(self.running.len()).unwrap_or(u32::MAX) - self.released_count
     }
@@ -363,7 +411,8 @@
         let teams = self.waiting.iter().map(|waiting| &*waiting.request.team);
         let fair_share = self.accounting.refresh_fair_share(now, teams);
         let max_short_term = self.accounting.max_short_term(now);
-        let mut ahead = u64::from(self.unread_tokens);
+        let granted_tokens = u64::from(self.unread_tokens);
+        let mut ahead = 0;
         let mut late = Vec::new();
         let mut teams_in_grace: SmallVec<[Box<str>; 8]> = SmallVec::new();
         let mut is_contended = false;
@@ -389,11 +438,11 @@
             let budget = waiting
                 .request
                 .budget
-                .saturating_sub(self.first_event_delay);
+                .saturating_sub(self.first_event_delay());
             // No other prompt is prefilled during a long one, so a long prompt of a team above its fair share counts
             // towards its own wait. Other prompts don't, or long ones would be refused under any load.
             let is_above_share = used > fair_share;
-            let is_long = self.prefill_rate.time_for(own_tokens) > MAX_BLOCKING_PREFILL;
+            let is_long = self.time_for(now, own_tokens) > MAX_BLOCKING_PREFILL;
             let blocks_others = is_above_share && is_long && now < self.contended_until;
             let ahead_of_start = if blocks_others {
                 ahead + own_tokens
@@ -401,10 +450,12 @@
                 ahead
             };
             let warm_up_wait = self.warm_up.wait(now, waiting_before);
-            let time_to_start = self.prefill_rate.time_for(ahead_of_start).max(warm_up_wait);
+            let time_to_start = self
+                .time_until_prefilled(now, ahead_of_start)
+                .max(warm_up_wait);
             let expected_wait = now.saturating_sub(waiting.queued_at) + time_to_start;
             // A request that could start now does: fairness must not leave the engine idle.
-            let has_room = ahead < u64::from(self.limits.max_unread_tokens);
+            let has_room = self.may_add_work(now, ahead);
             let can_start = has_room && warm_up_wait.is_zero() && !blocks_others;
             if !is_above_share && !has_room {
                 is_contended = true;
@@ -429,13 +480,13 @@
             } else if has_grace {
                 teams_in_grace.push(team.clone());
             } else {
-                late.push((waiting.id, ahead));
+                late.push((waiting.id, granted_tokens + ahead));
             }
         }
         if is_contended {
             self.contended_until = now + CONTENTION_WINDOW;
         }
-        let drain_time = self.prefill_rate.time_for(ahead);
+        let drain_time = self.time_until_prefilled(now, ahead);
         let drain_time = drain_time.max(self.warm_up.wait(now, waiting_before));
         let drain_time = drain_time.max(MIN_RETRY_AFTER);
         for (id, ahead) in late {
@@ -488,6 +539,7 @@
         self.warm_up.record_granted(now);
         self.unread_tokens += unread_tokens;
         self.prefill_rate.start(now);
+        self.pace.granted(now, id, unread_tokens);
         let running = RunningRequest {
             request,
             prefilled_tokens: 0,
--- a/crates/admission/src/queue/missing.rs
+++ b/crates/admission/src/queue/missing.rs
@@ -53,6 +53,7 @@
             }
         }
         self.prefill_rate.record(now, 0, false);
+        self.pace.restarted();
     }
 
     /// Excludes a silence that ends now from the time for which requests are missing.
@@ -87,6 +88,7 @@
             let is_missing = now >= since.max(running.granted_at) + RELEASE_MISSING_AFTER;
             if is_missing && !running.is_released {
                 running.is_released = true;
+                self.pace.removed(*id);
                 self.released_count += 1;
                 self.unread_tokens -= std::mem::take(&mut running.unread_tokens);
                 self.running_kv_tokens -= running.kv_tokens;
--- a/crates/admission/src/server.rs
+++ b/crates/admission/src/server.rs
@@ -8,7 +8,7 @@
 
 use hinge_link::{ClusterKey, FrameReader, FrameSender, Limits, ServerHandle, serve_exchange};
 use hinge_routing::WarmUpLimits;
-use hinge_schema::routing::{AskLoad, AskWarmUp, EngineLoad, TeamTokens, WarmUp};
+use hinge_schema::routing::{AskLoad, AskWarmUp, EngineLoad, EnginePace, TeamTokens, WarmUp};
 use hinge_telemetry::info;
 use hinge_telemetry::log::Component;
 use hinge_telemetry::metrics::Registry;
@@ -19,6 +19,7 @@
 use viz::{Body, Request, Router};
 
 use crate::engine::{Engine, EngineReport, ReportOutcome};
+use crate::pace::Pace;
 use crate::queue::AdmissionQueue;
 use crate::request::{Decision, QueueLimits, SlotRequest, SlotRequestId};
 use crate::session::{self, SlotEvent, SlotEventSender};
@@ -304,15 +305,10 @@
 
 /// Logs the queue's estimates beside the engine's own figures.
 fn log_engine(shared: &Shared, report: &EngineReport) {
-    let (load, prefill_rate, first_event_delay) = {
-        let state = shared.lock();
-        let queue = &state.queue;
-        (
-            queue.load(),
-            queue.prefill_tokens_per_ms(),
-            queue.first_event_delay(),
-        )
-    };
+    let now = shared.started_at.elapsed();
+    let state = shared.lock();
+    let queue = &state.queue;
+    let (load, pace) = (queue.load(), queue.pace());
     info!(
         Component::Admission,
         "Engine.",
@@ -322,8 +318,11 @@
         running = load.running,
         unread_tokens = load.unread_tokens,
         waiting_tokens = load.waiting_tokens,
-        pace_per_ms = prefill_rate,
-        first_event_ms = first_event_delay.as_millis()
+        busy_pace_per_ms = queue.prefill_tokens_per_ms(),
+        pace_per_ms = format_args!("{:.1}", pace.tokens_per_s(now) / 1_000.0),
+        usual_per_ms = format_args!("{:.1}", pace.usual_tokens_per_s() / 1_000.0),
+        first_event_ms = queue.first_event_delay().as_millis(),
+        work_ahead_ms = pace.work_ahead(now).as_millis()
     );
 }
 
@@ -389,10 +388,25 @@
             .collect(),
         engine_is_gone: load.engine_is_gone.then_some(true),
         warm_up_ms: state.queue.warm_up_left(now).map(millis),
-        pace: None,
+        pace: told_pace(state.queue.pace(), now),
     }
 }
 
+/// Returns the pace that gateways are told, once it is measured.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "rates are positive and bounded"
+)]
+fn told_pace(pace: &Pace, now: Duration) -> Option<EnginePace> {
+    let delay = pace.feedback_delay().filter(|_| pace.is_measured())?;
+    Some(EnginePace {
+        prefill_tokens_per_s: pace.tokens_per_s(now) as u32,
+        usual_tokens_per_s: pace.usual_tokens_per_s() as u32,
+        first_event_ms: u32::try_from(delay.as_millis()).unwrap_or(u32::MAX),
+    })
+}
+
 fn warm_up_limits(limits: &WarmUp) -> WarmUpLimits {
     WarmUpLimits {
         duration: Duration::from_millis(limits.duration_ms),
