Admission: go by the pace only where news of the engine is late

Change: the delay of prompts that were granted to an idle engine tells whether news is late: more than twice the time for max_unread_tokens. Elsewhere the queue goes by reports and gateways are told no pace.

--- a/crates/admission/src/pace.rs
+++ b/crates/admission/src/pace.rs
@@ -65,6 +65,16 @@
 /// Time after which delays are dropped unless others have followed.
 const DELAY_WINDOW: Duration = Duration::from_secs(1);
 
+/// Number of delays of idle engines that the unloaded delay is taken from.
+const IDLE_SAMPLES: usize = 16;
+
+/// Unloaded delays from which the delay of an engine is told from the time that its own queue adds.
+const MIN_IDLE_SAMPLES: usize = 4;
+
+/// Multiple of the time for the floor's tokens beyond which news comes too late for the floor to keep the engine busy. Up
+/// to that, reports between the first events keep the queue informed.
+const LATE_NEWS_RATIO: u32 = 2;
+
 /// Delay that is assumed of an engine until it is measured.
 const INITIAL_DELAY: Duration = Duration::from_millis(60);
 
@@ -97,6 +107,8 @@
     granted_at: Duration,
     /// Work ahead of it when it was granted, in seconds.
     ahead_s: f64,
+    /// Whether every earlier prompt had been answered when it was granted.
+    was_first: bool,
 }
 
 /// A decayed ratio of tokens and the time in which they were prefilled.
@@ -135,6 +147,10 @@
     delay: Option<Duration>,
     /// Delay that few are below.
     low_delay: Duration,
+    /// Latest delays of prompts that were granted to an idle engine.
+    idle_delays: VecDeque<Duration>,
+    /// Typical delay without the time that the engine's queue adds.
+    unloaded_delay: Option<Duration>,
     told_usual: Option<f64>,
 }
 
@@ -158,6 +174,8 @@
             held_delay: None,
             delay: None,
             low_delay: Duration::ZERO,
+            idle_delays: VecDeque::new(),
+            unloaded_delay: None,
             told_usual: None,
         }
     }
@@ -170,6 +188,7 @@
             tokens,
             granted_at: now,
             ahead_s,
+            was_first: self.unanswered.is_empty(),
         });
         self.unanswered_tokens += u64::from(tokens);
         self.advance_clock();
@@ -229,6 +248,15 @@
         self.measured_s >= MEASURED_AFTER_S && self.delay.is_some()
     }
 
+    /// Returns whether the engine can prefill a number of tokens long before the news of them arrives, so that granting
+    /// no more than these would leave it idle.
+    #[must_use]
+    pub fn has_late_news(&self, floor_tokens: u32) -> bool {
+        let floor = Duration::from_secs_f64(f64::from(floor_tokens) / self.usual_rate());
+        let unloaded = self.unloaded_delay.filter(|_| self.is_measured());
+        unloaded.is_some_and(|delay| delay > floor * LATE_NEWS_RATIO)
+    }
+
     /// Returns the usual rate in tokens per second; it changes only when it is off by more than a fifth.
     #[must_use]
     pub fn usual_tokens_per_s(&self) -> f64 {
@@ -299,8 +327,7 @@
             return backlog_s < Self::depth_s(delay, Duration::MAX) + MAX_FLOOR_EXCESS_S;
         }
         delay.is_some_and(|delay| {
-            self.time_for(now, floor_tokens.into()) < delay
-                && backlog_s < Self::depth_s(delay, shortest_budget)
+            self.has_late_news(floor_tokens) && backlog_s < Self::depth_s(delay, shortest_budget)
         })
     }
 
@@ -377,6 +404,9 @@
         let round_trip_s = seconds_between(prompt.granted_at, now);
         let rate = self.tokens_per_s(prompt.granted_at);
         let delay_s = round_trip_s - f64::from(prompt.tokens) / rate;
+        if prompt.was_first && delay_s > 0.0 {
+            self.add_idle_delay(Duration::from_secs_f64(delay_s).min(MAX_DELAY));
+        }
         // A rate that is too low by more than noise leaves nothing for the delay.
         if delay_s < -round_trip_s * DELAY_NOISE {
             return;
@@ -406,6 +436,19 @@
         self.low_delay = delays[delays.len() / 4];
     }
 
+    fn add_idle_delay(&mut self, delay: Duration) {
+        if self.idle_delays.len() == IDLE_SAMPLES {
+            self.idle_delays.pop_front();
+        }
+        self.idle_delays.push_back(delay);
+        if self.idle_delays.len() >= MIN_IDLE_SAMPLES {
+            let delays = self.idle_delays.iter().copied();
+            let mut delays: SmallVec<[Duration; IDLE_SAMPLES]> = delays.collect();
+            delays.sort_unstable();
+            self.unloaded_delay = Some(delays[delays.len() / 4]);
+        }
+    }
+
     /// Drops delays that no later one has confirmed; some of them were measured while the rate was off.
     fn forget_delays(&mut self, now: Duration) {
         let latest = self.delays.back();
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -329,10 +329,17 @@
     pub fn first_event_delay(&self) -> Duration {
         let delay = self.pace.feedback_delay();
         delay
-            .filter(|_| self.pace.is_measured())
+            .filter(|_| self.goes_by_pace())
             .unwrap_or(self.first_event_delay)
     }
 
+    /// Returns whether times follow from the answers alone, because reports and first events come too late to keep the
+    /// engine busy.
+    #[must_use]
+    pub fn goes_by_pace(&self) -> bool {
+        self.pace.has_late_news(self.limits.max_unread_tokens)
+    }
+
     /// Returns the engine's pace.
     #[must_use]
     pub fn pace(&self) -> &Pace {
@@ -377,7 +384,7 @@
 
     /// Returns the time in which the engine prefills some tokens.
     fn time_for(&self, now: Duration, tokens: u64) -> Duration {
-        if self.pace.is_measured() {
+        if self.goes_by_pace() {
             self.pace.time_for(now, tokens)
         } else {
             self.prefill_rate.time_for(tokens)
@@ -386,7 +393,7 @@
 
     /// Returns the time in which the engine prefills all that was granted and some further tokens.
     fn time_until_prefilled(&self, now: Duration, tokens: u64) -> Duration {
-        if self.pace.is_measured() {
+        if self.goes_by_pace() {
             self.pace.longest_work_ahead(now) + self.pace.time_for(now, tokens)
         } else {
             self.prefill_rate
--- a/crates/admission/src/server.rs
+++ b/crates/admission/src/server.rs
@@ -19,7 +19,6 @@
 use viz::{Body, Request, Router};
 
 use crate::engine::{Engine, EngineReport, ReportOutcome};
-use crate::pace::Pace;
 use crate::queue::AdmissionQueue;
 use crate::request::{Decision, QueueLimits, SlotRequest, SlotRequestId};
 use crate::session::{self, SlotEvent, SlotEventSender};
@@ -322,7 +321,8 @@
         pace_per_ms = format_args!("{:.1}", pace.tokens_per_s(now) / 1_000.0),
         usual_per_ms = format_args!("{:.1}", pace.usual_tokens_per_s() / 1_000.0),
         first_event_ms = queue.first_event_delay().as_millis(),
-        work_ahead_ms = pace.work_ahead(now).as_millis()
+        work_ahead_ms = pace.work_ahead(now).as_millis(),
+        goes_by_pace = queue.goes_by_pace()
     );
 }
 
@@ -388,18 +388,20 @@
             .collect(),
         engine_is_gone: load.engine_is_gone.then_some(true),
         warm_up_ms: state.queue.warm_up_left(now).map(millis),
-        pace: told_pace(state.queue.pace(), now),
+        pace: told_pace(&state.queue, now),
     }
 }
 
-/// Returns the pace that gateways are told, once it is measured.
+/// Returns the pace that gateways are told, once it is measured; none where news of the engine keeps up with it, so that
+/// its queue goes by reports.
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
     reason = "rates are positive and bounded"
 )]
-fn told_pace(pace: &Pace, now: Duration) -> Option<EnginePace> {
-    let delay = pace.feedback_delay().filter(|_| pace.is_measured())?;
+fn told_pace(queue: &AdmissionQueue, now: Duration) -> Option<EnginePace> {
+    let pace = queue.pace();
+    let delay = pace.feedback_delay().filter(|_| queue.goes_by_pace())?;
     Some(EnginePace {
         prefill_tokens_per_s: pace.tokens_per_s(now) as u32,
         usual_tokens_per_s: pace.usual_tokens_per_s() as u32,
--- a/crates/admission/tests/model/mod.rs
+++ b/crates/admission/tests/model/mod.rs
@@ -11,8 +11,8 @@
     SlotRequestId,
 };
 use hinge_routing::{
-    Backlog, BacklogLimits, Candidate, ChoiceRules, UsageLag, choose_after_refusal,
-    choose_endpoint, load_interval,
+    Backlog, Candidate, ChoiceRules, SpillLimits, UsageLag, choose_after_refusal, choose_endpoint,
+    load_interval,
 };
 
 const LIMITS: QueueLimits = QueueLimits {
@@ -250,9 +250,10 @@
             choose_endpoint(&candidates, None, 0, &rules, 0)
         } else {
             let left = FIRST_EVENT_TARGET.saturating_sub(ms(self.now_ms - request.arrived_ms));
-            let room = BacklogLimits {
+            let room = SpillLimits {
                 idle_tokens: IDLE_TOKENS,
-                prefillable_tokens: rules.prefillable_tokens(left),
+                left,
+                own_tokens: 0,
             };
             choose_after_refusal(&candidates, None, 0, &rules, lag, room, 0)
         };
@@ -276,6 +277,7 @@
                 unread_tokens: load.unread_tokens + added_tokens,
                 waiting_tokens: load.waiting_tokens,
             },
+            pace: None,
             is_local: true,
             has_cached_prefix: false,
             is_warming_up: false,
