Admission: go by the pace too where reports list no requests

Such reports show no progress, so first events are the only news. The model's reports say now whether the engine runs anything, which they left at 0; no bound changed.

--- a/crates/admission/src/pace.rs
+++ b/crates/admission/src/pace.rs
@@ -306,7 +306,7 @@
     ///
     /// The floor is a number of tokens that may always be unread; it suffices where the engine needs longer to prefill
     /// them than news takes. `unread_tokens` are those that are unread as far as reports show, and `shortest_budget` is
-    /// the shortest remaining budget of a waiting request.
+    /// the shortest remaining budget of a waiting request. Only with `is_deep` is more than the floor granted.
     #[must_use]
     pub fn has_room(
         &self,
@@ -315,6 +315,7 @@
         unread_tokens: u32,
         floor_tokens: u32,
         shortest_budget: Duration,
+        is_deep: bool,
     ) -> bool {
         let is_below_floor = u64::from(unread_tokens) + tokens < u64::from(floor_tokens);
         if self.measured_s < MEASURED_AFTER_S {
@@ -326,9 +327,7 @@
             let delay = delay.unwrap_or(INITIAL_DELAY);
             return backlog_s < Self::depth_s(delay, Duration::MAX) + MAX_FLOOR_EXCESS_S;
         }
-        delay.is_some_and(|delay| {
-            self.has_late_news(floor_tokens) && backlog_s < Self::depth_s(delay, shortest_budget)
-        })
+        delay.is_some_and(|delay| is_deep && backlog_s < Self::depth_s(delay, shortest_budget))
     }
 
     /// Returns how much work may be granted, in seconds from the latest news.
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -95,6 +95,8 @@
     silent_since: Option<Duration>,
     /// Start time of the engine in its latest report.
     engine_started_unix_ms: Option<u64>,
+    /// Whether the engine's reports list its requests, which shows their progress.
+    lists_requests: bool,
     /// Whether nothing listens at the engine's address, as far as known.
     engine_is_gone: bool,
     warm_up: WarmUp,
@@ -129,6 +131,7 @@
             reported_at: Duration::ZERO,
             silent_since: None,
             engine_started_unix_ms: None,
+            lists_requests: true,
             engine_is_gone: false,
             warm_up: WarmUp::default(),
             engine_restarted: false,
@@ -190,6 +193,9 @@
             self.limits.kv_tokens = kv_tokens;
             self.cache.resize(kv_tokens);
         }
+        if report.active > 0 {
+            self.lists_requests = !report.requests.is_empty();
+        }
         let requests = report.requests.iter();
         let requests: HashMap<&str, &EngineRequest> = requests
             .map(|request| (&*request.request_id, request))
@@ -333,11 +339,12 @@
             .unwrap_or(self.first_event_delay)
     }
 
-    /// Returns whether times follow from the answers alone, because reports and first events come too late to keep the
-    /// engine busy.
+    /// Returns whether times follow from the answers alone, because reports show no progress, or too late to keep the engine
+    /// busy.
     #[must_use]
     pub fn goes_by_pace(&self) -> bool {
-        self.pace.has_late_news(self.limits.max_unread_tokens)
+        let has_late_news = self.pace.has_late_news(self.limits.max_unread_tokens);
+        has_late_news || (!self.lists_requests && self.pace.is_measured())
     }
 
     /// Returns the engine's pace.
@@ -378,8 +385,9 @@
         let earliest = deadlines.min().unwrap_or(Duration::MAX);
         let shortest_budget = earliest.saturating_sub(now);
         let (unread, floor) = (self.unread_tokens, self.limits.max_unread_tokens);
+        let is_deep = self.goes_by_pace();
         self.pace
-            .has_room(now, tokens, unread, floor, shortest_budget)
+            .has_room(now, tokens, unread, floor, shortest_budget, is_deep)
     }
 
     /// Returns the time in which the engine prefills some tokens.
--- a/crates/admission/tests/pace.rs
+++ b/crates/admission/tests/pace.rs
@@ -210,6 +210,7 @@
             started_unix_ms: Some(self.started_unix_ms),
             // No request counts as missing while any is queued in the engine.
             queued: 1,
+            active: u32::from(!self.prefilling.is_empty()),
             requests: requests.collect(),
             ..EngineReport::default()
         };
