Plain endpoints: choose by the expected end of a request

Cause: a service without a model engine was chosen among by the number of requests, at 2 ms a running one and 60 ms a missing slot, whatever the endpoint's speed. The load header's fourth figure (how long work takes there now) was dropped at the edge. A load counted whole for 1.5 s.

Change: the figure is decoded once (10 to 2,000 percent; anything else says nothing) into EndpointLoad.work_permille. PlainSpeed keeps the usual service time (seconds) and the moment (figure, last answers, oldest unanswered request; 0.5 s) apart. choose_plain takes the shortest expected end. What no endpoint can begin before its deadline, by fresh news, is refused with the time until one could; after a rejection Retry-After is when a slot should be free. Requests with a prompt and services with engines are chosen as before. The log line has expected_service_ms and expected_ms.

Found by the end-to-end test on the way: an endpoint whose first answer was slow was not tried again for some 440 requests. The usual time now returns to that of fast neighbours in 5 s.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -249,7 +249,7 @@
         in_use.record_leaving();
     }
     if facts.disposition == Disposition::NotRun {
-        in_use.record_answer();
+        in_use.record_rejected();
         return AttemptOutcome::NotRun(status);
     }
     if status.is_success() && !facts.is_signed {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -48,6 +48,8 @@
     pub waiting: u32,
     /// Requests that it can run concurrently.
     pub slots: u32,
+    /// How long work takes there at this moment, 1000 as usual; `None` if it does not say.
+    pub work_permille: Option<u32>,
 }
 
 /// What an endpoint did with a request.
--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -7,8 +7,9 @@
 use std::time::Duration;
 
 use hinge_routing::{
-    AnswerProgress, Backlog, Candidate, CircuitBreaker, CircuitBreakerRules, CrashTracker,
-    IncarnationHash, RequestKey, WarmUpLimits, WarmUpShare,
+    AnswerProgress, Backlog, Candidate, ChoiceRules, CircuitBreaker, CircuitBreakerRules,
+    CrashTracker, IncarnationHash, PlainCandidate, PlainRequest, PlainSpeed, RequestKey,
+    WarmUpLimits, WarmUpShare,
 };
 use hinge_schema::routing::{Endpoint as Description, EngineLoad};
 use hinge_telemetry::log::Component;
@@ -51,6 +52,8 @@
     load: Option<(EndpointLoad, Instant)>,
     /// Requests sent minus requests ended since the load was reported.
     sent_since_load: i32,
+    /// Speed and load for requests without a prompt.
+    plain: PlainSpeed,
     /// Load reported by the admission beside the endpoint.
     admission_load: Option<(EngineLoad, Instant)>,
     /// Tokens that each team has used there recently.
@@ -372,6 +375,38 @@
         (candidate, age)
     }
 
+    /// Returns its description for choosing an endpoint for a request without a prompt.
+    ///
+    /// `remote_bytes` is the number of bytes that would leave the data centre. The round trip is part of its service time as
+    /// seen from here.
+    pub(crate) fn plain_candidate(
+        &self,
+        data_center: &str,
+        remote_bytes: u64,
+        rules: &ChoiceRules,
+    ) -> PlainCandidate {
+        let now = self.began.elapsed();
+        let state = self.lock();
+        let slots = self.description.slots;
+        let mut candidate = state.plain.candidate(now, state.own_running, slots);
+        candidate.hash = self.hash;
+        if !self.is_in(data_center) {
+            candidate.price += Duration::from_micros(remote_bytes * rules.remote_kb_us / 1_000);
+        }
+        if state.warms_until > now {
+            candidate.price += Duration::from_micros(rules.warm_up_us);
+        }
+        candidate
+    }
+
+    /// Returns the time until a request of now would begin there, as far as its answers have shown.
+    pub(crate) fn plain_free_in(&self) -> Option<Duration> {
+        let state = self.lock();
+        let (now, slots) = (self.began.elapsed(), self.description.slots);
+        let candidate = state.plain.candidate(now, state.own_running, slots);
+        candidate.free_in()
+    }
+
     /// Records that a request is sent; dropping the handle records that it has ended.
     pub(crate) fn begin_request(
         self: &Arc<Self>,
@@ -388,6 +423,7 @@
             endpoint: Arc::clone(self),
             tokens,
             grant,
+            plain: None,
             has_outcome: false,
             progress: None,
         }
@@ -450,6 +486,8 @@
     endpoint: Arc<Endpoint>,
     tokens: u32,
     grant: Option<Grant>,
+    /// The request as its endpoint's speed knows it, until it is answered.
+    plain: Option<PlainRequest>,
     /// Whether the circuit breaker has been told how the request fared.
     has_outcome: bool,
     /// How far the answer has come, once its first whole chunk has arrived.
@@ -472,7 +510,16 @@
     pub(crate) fn record_sent(&mut self) {
         if let Some(grant) = &mut self.grant {
             grant.record_sent();
+            return;
         }
+        let endpoint = &self.endpoint;
+        let mut state = endpoint.lock();
+        let others_of_ours = state.own_running - 1;
+        let now = endpoint.began.elapsed();
+        let sent = state
+            .plain
+            .record_sent(now, others_of_ours, endpoint.description.slots);
+        self.plain = Some(sent);
     }
 
     /// Records the load that the endpoint reported.
@@ -480,6 +527,14 @@
         let mut state = self.endpoint.lock();
         state.load = Some((load, Instant::now()));
         state.sent_since_load = 0;
+        if self.plain.is_some() {
+            let now = self.endpoint.began.elapsed();
+            let reported = load.running.saturating_add(load.waiting);
+            let own = state.own_running;
+            state
+                .plain
+                .record_load(now, reported, own, load.work_permille);
+        }
     }
 
     /// Records that the endpoint wants no requests from this instance for some time.
@@ -506,10 +561,27 @@
         self.endpoint.record_planned_stop();
     }
 
+    /// Records that the endpoint was full and has not run the request.
+    pub(crate) fn record_rejected(&mut self) {
+        if let Some(request) = self.plain.take() {
+            let endpoint = &self.endpoint;
+            let mut state = endpoint.lock();
+            state.plain.record_end(request);
+            let now = endpoint.began.elapsed();
+            state.plain.record_rejected(now, endpoint.description.slots);
+        }
+        self.record_answer();
+    }
+
     /// Records that the endpoint has begun to answer.
     pub(crate) fn record_answer(&mut self) {
         self.has_outcome = true;
         let mut state = self.endpoint.lock();
+        if let Some(request) = self.plain.take() {
+            state.plain.record_end(request);
+            let now = self.endpoint.began.elapsed();
+            state.plain.record_answer(now, request);
+        }
         state.breaker.record_success();
         state.unread_tokens -= self.tokens;
         self.tokens = 0;
@@ -637,6 +709,9 @@
         state.own_running -= 1;
         state.sent_since_load -= 1;
         state.unread_tokens -= self.tokens;
+        if let Some(request) = self.plain.take() {
+            state.plain.record_end(request);
+        }
         if !self.has_outcome {
             state.breaker.record_abandoned();
         }
--- a/crates/gateway/src/history.rs
+++ b/crates/gateway/src/history.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hinge_routing::{Prompt, StreamOrigin};
+use hinge_routing::{PlainChoice, Prompt, StreamOrigin};
 use hinge_telemetry::log::{Component, Level};
 use hinge_telemetry::record;
 use smallvec::SmallVec;
@@ -38,6 +38,8 @@
     pub(crate) running: u32,
     pub(crate) load_age_ms: u128,
     pub(crate) candidates: usize,
+    /// What was expected of the endpoint that was chosen last, for a request without a prompt.
+    pub(crate) expected: Option<PlainChoice>,
     /// Whether an endpoint may have run the request; then a refusal must not claim that it did not run.
     pub(crate) may_have_run: bool,
     pub(crate) first_chunk: Option<Duration>,
@@ -163,6 +165,12 @@
             candidates = self.candidates,
             running = self.running,
             load_age_ms = self.load_age_ms,
+            expected_service_ms = self
+                .expected
+                .map_or(0, |expected| expected.service.as_millis()),
+            expected_ms = self
+                .expected
+                .map_or(0, |expected| expected.ends_in.as_millis()),
             table = job.snapshot.table_number(),
             table_age_ms = job.gateway.routing.age().as_millis(),
             list = job.snapshot.endpoints_version(),
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -213,8 +213,11 @@
                     history.attempts += 1;
                     history.status = status.as_u16();
                     history.cause = "the endpoint refused";
+                    self.record_plain_rejection(&endpoint, history);
                     if !self.may_retry(history) {
-                        return JobOutcome::Refused(history.refusal(NO_ENDPOINT_RETRY));
+                        let told = history.retry_after.filter(|_| self.is_plain());
+                        let retry_after = told.unwrap_or(NO_ENDPOINT_RETRY);
+                        return JobOutcome::Refused(history.refusal(retry_after));
                     }
                 }
                 AttemptOutcome::Unknown(cause) => {
@@ -442,7 +445,7 @@
     }
 
     /// Estimates the bytes of the request and its answer that would leave the data centre.
-    fn far_bytes(&self) -> u64 {
+    pub(crate) fn far_bytes(&self) -> u64 {
         let answer_tokens = self
             .prompt
             .as_ref()
@@ -549,6 +552,12 @@
         } else {
             open
         };
+        if self.is_plain() {
+            return match self.choose_plain(&usable, history) {
+                Some(chosen) => Choice::Endpoint(chosen),
+                None => Choice::NoneAvailable,
+            };
+        }
         let holders = self.holders();
         let with_ages = usable.iter().map(|endpoint| {
             let has_cached_prefix = holders.contains(&endpoint.incarnation);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod part_trials;
 mod peer_discovery;
 mod peer_updates;
+mod plain;
 mod pool;
 mod prepared_refusal;
 mod refusal;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -3,6 +3,8 @@
 //! - [`RouteIndex`] finds the route and the team of a request, in a table that [`check_table`] accepts.
 //! - [`choose_endpoint`] chooses the endpoint of a request, and [`choose_after_refusal`] another one if that
 //!   refuses.
+//! - [`PlainSpeed`] estimates the speed and load of an endpoint without an engine, and [`choose_plain`] chooses
+//!   among such endpoints.
 //! - [`UsageLag`] decides which endpoints a refused request may still try.
 //! - [`CachedPrefixes`] remembers which endpoints have a prompt prefix cached, and [`choose_kv_source`] where
 //!   to copy it from.
@@ -34,6 +36,8 @@
 mod part_evidence;
 mod peer_gateways;
 mod peer_list;
+mod plain_choice;
+mod plain_speed;
 mod request_key;
 mod retry_budget;
 mod route_index;
@@ -59,6 +63,8 @@
 pub use part_evidence::{AnswerProgress, PartEvidence};
 pub use peer_gateways::PeerGateways;
 pub use peer_list::PeerList;
+pub use plain_choice::{PlainCandidate, PlainChoice, PlainOutcome, choose_plain};
+pub use plain_speed::{PlainRequest, PlainSpeed};
 pub use request_key::{RequestKey, RequestKeyError};
 pub use retry_budget::{RetryBudget, RetryBudgetRules};
 pub use route_index::RouteIndex;
