--- a/crates/gateway/src/history.rs
+++ b/crates/gateway/src/history.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hinge_routing::{Pace, Prompt, StreamOrigin};
+use hinge_routing::{Pace, PlainChoice, Prompt, StreamOrigin};
 use hinge_telemetry::log::{Component, Level};
 use hinge_telemetry::record;
 use smallvec::SmallVec;
@@ -40,6 +40,8 @@
     /// Pace with which the chosen endpoint counted, and the age of its report.
     pub(crate) pace: Option<(Pace, Duration)>,
     pub(crate) candidates: usize,
+    /// What was expected of the endpoint that was chosen last, for a request without a prompt.
+    pub(crate) expected: Option<PlainChoice>,
     /// Whether an endpoint may have run the request; then a refusal must not claim that it did not run.
     pub(crate) may_have_run: bool,
     pub(crate) first_chunk: Option<Duration>,
@@ -167,6 +169,12 @@
             load_age_ms = self.load_age_ms,
             pace_tokens_per_s = self.pace.map_or(0, |(pace, _age)| pace.tokens_per_s()),
             pace_age_ms = self.pace.map_or(0, |(_pace, age)| age.as_millis()),
+            expected_service_ms = self
+                .expected
+                .map_or(0, |expected| expected.service.as_millis()),
+            expected_ms = self
+                .expected
+                .map_or(0, |expected| expected.ends_in.as_millis()),
             table = job.snapshot.table_number(),
             table_age_ms = job.gateway.routing.age().as_millis(),
             list = job.snapshot.endpoints_version(),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -4,6 +4,8 @@
 //! - [`choose_endpoint`] chooses the endpoint of a request, and [`choose_after_refusal`] another one if that
 //!   refuses.
 //! - [`Pace`] tells how fast an endpoint works, by which both of them count its load and its share of the homes.
+//! - [`PlainSpeed`] estimates the speed and load of an endpoint without an engine, and [`choose_plain`] chooses
+//!   among such endpoints.
 //! - [`UsageLag`] decides which endpoints a refused request may still try.
 //! - [`CachedPrefixes`] remembers which endpoints have a prompt prefix cached, and [`choose_kv_source`] where
 //!   to copy it from.
@@ -37,6 +39,8 @@
 mod part_evidence;
 mod peer_gateways;
 mod peer_list;
+mod plain_choice;
+mod plain_speed;
 mod prefix_homes;
 mod request_key;
 mod retry_budget;
@@ -64,6 +68,8 @@
 pub use part_evidence::{AnswerProgress, PartEvidence};
 pub use peer_gateways::PeerGateways;
 pub use peer_list::PeerList;
+pub use plain_choice::{PlainCandidate, PlainChoice, PlainOutcome, choose_plain};
+pub use plain_speed::{PlainRequest, PlainSpeed};
 pub use request_key::{RequestKey, RequestKeyError};
 pub use retry_budget::{RetryBudget, RetryBudgetRules};
 pub use route_index::RouteIndex;
