Admission: promise refused callers a place, and keep it for their return

Change: a refusal gives a place within half of the request's budget, one prefill time after the other and divided among teams; the admission keeps it under a key of team, route and own prompt part (`AdmitAsk.return_key`, set by gateways) from 20 ms before to 250 ms after its time. A returned request goes before others of its team and rank and is late only beyond its budget; kept places count as work ahead of newcomers of the same team and of teams with more use. The order of teams is unchanged. Without a key everything is as before. `AdmitVerdict.is_promised` is new and optional.

--- a/crates/admission/src/order.rs
+++ b/crates/admission/src/order.rs
@@ -2,12 +2,14 @@
 //!
 //! Streams to continue come first. Then come teams within their fair share, by rank, and then teams above it; among
 //! the latter an underserved team goes first. Ties go to the team with the lowest recent usage across all engines,
-//! then to the request with the earliest deadline.
+//! then to the request with the earliest deadline. The order of teams is decided first; among the requests of the team
+//! that is next, those with a kept place go before the others of their rank.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
 use crate::request::{SlotRequest, SlotRequestId};
+use crate::returns::Promise;
 use crate::turn::{level_tokens, scheduling_class, usage_level};
 
 /// A request that waits for a slot.
@@ -16,6 +18,8 @@
     pub(crate) id: SlotRequestId,
     pub(crate) request: SlotRequest,
     pub(crate) queued_at: Duration,
+    /// The place that was kept for it since an earlier attempt was refused.
+    pub(crate) promise: Option<Promise>,
 }
 
 /// The usage of a team that decides the order of its requests.
@@ -64,6 +68,28 @@
     order
 }
 
+/// Returns the request of the chosen one's team and rank that has the earliest kept place, if any has one.
+fn promised_instead(
+    waiting: &[WaitingRequest],
+    remaining: &[usize],
+    chosen: usize,
+) -> Option<(usize, usize)> {
+    let chosen = &waiting[chosen].request;
+    let positions = remaining.iter().copied().enumerate();
+    let promised = positions.filter_map(|(position, index)| {
+        let WaitingRequest {
+            id,
+            request,
+            promise,
+            ..
+        } = &waiting[index];
+        let is_like_chosen = request.team == chosen.team && request.rank == chosen.rank;
+        let due = promise.as_ref().filter(|_| is_like_chosen)?.due;
+        Some(((due, *id), (position, index)))
+    });
+    promised.min().map(|(_, place)| place)
+}
+
 fn select_next(
     waiting: &[WaitingRequest],
     remaining: &[usize],
@@ -72,7 +98,7 @@
     level_tokens: f64,
 ) -> Option<(usize, usize)> {
     let positions = remaining.iter().copied().enumerate();
-    positions.min_by(|(_, a), (_, b)| {
+    let chosen = positions.min_by(|(_, a), (_, b)| {
         let (a, b) = (&waiting[*a], &waiting[*b]);
         let by_class = {
             let scheduling_class = |request: &SlotRequest| {
@@ -99,5 +125,10 @@
             .then(by_usage)
             .then(a_deadline.cmp(&b_deadline))
             .then(a.id.cmp(&b.id))
-    })
+    })?;
+    if waiting.iter().all(|waiting| waiting.promise.is_none()) {
+        return Some(chosen);
+    }
+    let promised = promised_instead(waiting, remaining, chosen.1);
+    Some(promised.unwrap_or(chosen))
 }
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -6,6 +6,7 @@
 //! too late is refused at once, with the time in which the queue is expected to drain.
 
 mod missing;
+mod returning;
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -19,6 +20,7 @@
 use crate::order::{TeamStanding, WaitingRequest, scheduling_order};
 use crate::prefill_rate::PrefillRate;
 use crate::request::{Decision, Load, QueueLimits, RefusalCause, SlotRequest, SlotRequestId};
+use crate::returns::Returns;
 use crate::turn::max_wait_permille;
 use crate::usage::TeamUsage;
 use missing::Absence;
@@ -110,6 +112,7 @@
     accounting: UsageAccounting,
     /// Time until which teams within their fair share are expected to need the engine.
     contended_until: Duration,
+    returns: Returns,
 }
 
 impl AdmissionQueue {
@@ -136,16 +139,19 @@
             lost: Vec::new(),
             accounting: UsageAccounting::new(),
             contended_until: Duration::ZERO,
+            returns: Returns::default(),
         }
     }
 
     /// Adds a request to the queue; [`AdmissionQueue::decide`] returns the decision on it.
     pub fn enqueue(&mut self, now: Duration, id: SlotRequestId, request: SlotRequest) {
         self.accounting.record_remote_usage(now, &request);
+        let key = request.return_key;
         self.waiting.push(WaitingRequest {
             id,
             request,
             queued_at: now,
+            promise: key.and_then(|key| self.returns.redeem(now, key)),
         });
     }
 
@@ -244,7 +250,7 @@
 
     /// Records that a request has ended, or that its caller no longer waits.
     pub fn request_ended(&mut self, now: Duration, id: SlotRequestId) {
-        self.waiting.retain(|waiting| waiting.id != id);
+        self.remove_waiting(now, id);
         let Some(running) = self.running.remove(&id) else {
             return;
         };
@@ -273,6 +279,7 @@
 
     /// Returns the decisions on waiting requests that are due.
     pub fn decide(&mut self, now: Duration) -> Vec<Decision> {
+        self.returns.expire(now);
         self.assumes_warm_cache = now < ASSUME_CACHED_FOR && !self.engine_restarted;
         if self.engine_is_gone {
             return self.refuse_all();
@@ -368,6 +375,7 @@
         let mut teams_in_grace: SmallVec<[Box<str>; 8]> = SmallVec::new();
         let mut is_contended = false;
         let mut waiting_before = 0;
+        let promised = self.promised_work(now, max_short_term);
         for index in self.scheduling_order(now) {
             let waiting = &self.waiting[index];
             let own_tokens = u64::from(self.tokens_to_prefill(&waiting.request));
@@ -386,6 +394,7 @@
             };
             let wait_permille =
                 max_wait_permille(self.limits.max_wait_permille, effective_used, fair_share);
+            let wait_permille = waiting.max_wait_permille(wait_permille);
             let budget = waiting
                 .request
                 .budget
@@ -402,6 +411,7 @@
             };
             let warm_up_wait = self.warm_up.wait(now, waiting_before);
             let time_to_start = self.prefill_rate.time_for(ahead_of_start).max(warm_up_wait);
+            let time_to_start = waiting.time_behind(&promised, used, time_to_start);
             let expected_wait = now.saturating_sub(waiting.queued_at) + time_to_start;
             // A request that could start now does: fairness must not leave the engine idle.
             let has_room = ahead < u64::from(self.limits.max_unread_tokens);
@@ -439,21 +449,17 @@
         let drain_time = drain_time.max(self.warm_up.wait(now, waiting_before));
         let drain_time = drain_time.max(MIN_RETRY_AFTER);
         for (id, ahead) in late {
-            self.waiting.retain(|waiting| waiting.id != id);
-            decisions.push(Decision::Refuse {
-                id,
-                retry_after: drain_time,
-                ahead_tokens: u32::try_from(ahead).unwrap_or(u32::MAX),
-                cause: RefusalCause::Late,
-            });
+            decisions.extend(self.refuse(now, id, drain_time, ahead));
         }
     }
 
     /// Refuses all waiting requests because the engine is gone.
     fn refuse_all(&mut self) -> Vec<Decision> {
+        self.returns.clear();
         let refused = self.waiting.drain(..).map(|waiting| Decision::Refuse {
             id: waiting.id,
             retry_after: ENGINE_GONE_RETRY_AFTER,
+            is_promised: false,
             ahead_tokens: 0,
             cause: RefusalCause::EngineGone,
         });
@@ -473,7 +479,11 @@
             id,
             request,
             queued_at,
+            promise,
         } = next;
+        if let Some(key) = request.return_key {
+            self.returns.forget(key);
+        }
         let ahead_tokens = self.unread_tokens;
         let unread_tokens = self.tokens_to_prefill(&request);
         let shared_tokens = request.shared_prefix.map_or(0, |(_, tokens)| tokens);
@@ -504,6 +514,7 @@
             id,
             waited: now.saturating_sub(queued_at),
             ahead_tokens,
+            has_returned: promise.is_some(),
         }
     }
 }
--- a/crates/admission/src/request.rs
+++ b/crates/admission/src/request.rs
@@ -40,6 +40,8 @@
     pub budget: Duration,
     /// The team's recent usage at other engines, in tokens.
     pub elsewhere_tokens: u64,
+    /// Key by which the caller is recognised if it is refused and comes back.
+    pub return_key: Option<u64>,
 }
 
 /// The decision on a slot request.
@@ -53,6 +55,8 @@
         waited: Duration,
         /// Prompt tokens of other requests that the engine prefills first.
         ahead_tokens: u32,
+        /// Whether its caller came back to a place that was kept for it.
+        has_returned: bool,
     },
     /// The request is refused.
     Refuse {
@@ -60,6 +64,8 @@
         id: SlotRequestId,
         /// Time until the queue is expected to have room.
         retry_after: Duration,
+        /// Whether a place is kept for the caller then.
+        is_promised: bool,
         /// Prompt tokens of other requests that the engine would prefill first.
         ahead_tokens: u32,
         /// Why it is refused.
--- a/crates/admission/src/session.rs
+++ b/crates/admission/src/session.rs
@@ -155,10 +155,18 @@
             .then_some((request.shared_key, request.shared_tokens)),
         budget: Duration::from_millis(request.budget_ms),
         elsewhere_tokens: request.elsewhere_tokens,
+        return_key: request.return_key,
     }
 }
 
 fn verdict(number: u64, decision: Decision, load: EngineLoad) -> AdmitVerdict {
+    let is_promised = matches!(
+        decision,
+        Decision::Refuse {
+            is_promised: true,
+            ..
+        }
+    );
     let (granted, retry_after, waited, ahead_tokens) = match decision {
         Decision::Grant {
             waited,
@@ -178,6 +186,7 @@
         wait_ms: millis(waited),
         ahead_tokens,
         load,
+        is_promised: is_promised.then_some(true),
     }
 }
 
@@ -186,6 +195,7 @@
         Decision::Grant {
             waited,
             ahead_tokens,
+            has_returned,
             ..
         } => info!(
             Component::Admission,
@@ -195,6 +205,7 @@
             rank = request.rank,
             elsewhere_tokens = request.elsewhere_tokens,
             waited_ms = waited.as_millis(),
+            has_returned = has_returned,
             ahead_tokens = ahead_tokens,
             prompt_tokens = request.prompt_tokens,
             answer_tokens = request.answer_tokens
@@ -203,6 +214,7 @@
             retry_after,
             ahead_tokens,
             cause,
+            is_promised,
             ..
         } => info!(
             Component::Admission,
@@ -219,7 +231,8 @@
             ahead_tokens = ahead_tokens,
             prompt_tokens = request.prompt_tokens,
             answer_tokens = request.answer_tokens,
-            retry_after_ms = retry_after.as_millis()
+            retry_after_ms = retry_after.as_millis(),
+            is_promised = is_promised
         ),
     }
 }
--- a/crates/admission/tests/lost.rs
+++ b/crates/admission/tests/lost.rs
@@ -22,6 +22,7 @@
         shared_prefix: None,
         budget: Duration::from_millis(500),
         elsewhere_tokens: 0,
+        return_key: None,
     }
 }
 
--- a/crates/admission/tests/model/mod.rs
+++ b/crates/admission/tests/model/mod.rs
@@ -295,6 +295,7 @@
             shared_prefix: None,
             budget: FIRST_EVENT_TARGET.saturating_sub(waited),
             elsewhere_tokens: self.usage_elsewhere(&request.team, index),
+            return_key: None,
         };
         self.engines[index]
             .queue
--- a/crates/admission/tests/queue.rs
+++ b/crates/admission/tests/queue.rs
@@ -37,6 +37,7 @@
         shared_prefix: None,
         budget: ms(budget_ms),
         elsewhere_tokens: 0,
+        return_key: None,
     }
 }
 
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -66,13 +66,29 @@
     /// The admission was not asked or did not reply; the request may be sent all the same.
     Unasked,
     /// The request can't start within its budget.
-    Refused { retry_after: Duration },
+    Refused(Told),
     /// The engine has ended, so nothing is granted there.
     EngineGone,
     /// The data centre of the endpoint was evacuated while the request waited.
     Evacuated,
 }
 
+/// When the caller of a refused request is to come back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Told {
+    pub(crate) retry_after: Duration,
+    /// Whether the admission keeps a place for it then.
+    pub(crate) is_promised: bool,
+}
+
+impl Told {
+    /// Returns which of two admissions' times the caller is told: a promised one, then the earlier.
+    pub(crate) fn or(self, other: Self) -> Self {
+        let order = |told: &Self| (!told.is_promised, told.retry_after);
+        std::cmp::min_by_key(self, other, order)
+    }
+}
+
 /// A granted slot, which dropping it frees.
 #[derive(Debug)]
 pub(crate) struct Grant {
@@ -173,8 +189,10 @@
             return AskOutcome::EngineGone;
         }
         if !verdict.granted {
-            let retry_after = Duration::from_millis(verdict.retry_after_ms);
-            return AskOutcome::Refused { retry_after };
+            return AskOutcome::Refused(Told {
+                retry_after: Duration::from_millis(verdict.retry_after_ms),
+                is_promised: verdict.is_promised == Some(true),
+            });
         }
         let lost_grace = self.access.lost_grace;
         AskOutcome::Granted(Grant::new(sent_ask, &verdict, asked_at, lost_grace))
--- a/crates/gateway/src/admission_stream/tests.rs
+++ b/crates/gateway/src/admission_stream/tests.rs
@@ -39,6 +39,7 @@
         return_key: None,
     });
     let verdict = AdmitVerdict {
+        is_promised: None,
         number: 0,
         granted: true,
         retry_after_ms: 0,
--- a/crates/gateway/src/history.rs
+++ b/crates/gateway/src/history.rs
@@ -9,6 +9,7 @@
 use hinge_telemetry::record;
 use smallvec::SmallVec;
 
+use crate::admission::Told;
 use crate::attempt::part_ids;
 use crate::endpoint::Endpoint;
 use crate::job::Job;
@@ -25,7 +26,9 @@
     pub(crate) gone: SmallVec<[Arc<Endpoint>; 2]>,
     /// Endpoints that warm up and bear no further request now.
     pub(crate) warming_up: SmallVec<[Arc<Endpoint>; 2]>,
-    /// Retry delay given by the last admission that refused, or by the endpoints' requested pauses.
+    /// What the caller is told of the times given by the admissions that refused.
+    pub(crate) told: Option<Told>,
+    /// Retry delay given by the admissions that refused, or by the endpoints' requested pauses.
     pub(crate) retry_after: Option<Duration>,
     /// Engine from which the last endpoint fetches the cached prompt prefix.
     pub(crate) fetched_from: Option<SocketAddr>,
@@ -72,6 +75,14 @@
         origin.is_none_or(|origin| origin.software_version == endpoint.description.software_version)
     }
 
+    /// Records the time that an admission gave, and returns the one that the caller is told.
+    pub(crate) fn record_told(&mut self, told: Told) -> Duration {
+        let told = self.told.map_or(told, |before| before.or(told));
+        self.told = Some(told);
+        self.retry_after = Some(told.retry_after);
+        told.retry_after
+    }
+
     /// Records that all endpoints have asked for a pause, with the shortest time left.
     pub(crate) fn record_backoff(&mut self, shortest: Option<Duration>) {
         if let Some(backoff) = shortest {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -7,7 +7,7 @@
 use hinge_routing::{
     BacklogLimits, Candidate, Holders, Homes, KvSource, Prompt, RequestKey, StreamKey,
     StreamOrigin, UsageLag, WarmUpLimits, choose_after_refusal, choose_endpoint, choose_kv_source,
-    token_copy_time,
+    return_key, token_copy_time,
 };
 use hinge_schema::routing::{AdmitAsk, AskWarmUp, Engine, Route, WarmUp};
 use http::StatusCode;
@@ -255,10 +255,10 @@
                 }
                 Slot::TryAnother
             }
-            AskOutcome::Refused { retry_after } => {
+            AskOutcome::Refused(told) => {
                 history.cause = "the admission refused";
                 history.refused.push(Arc::clone(endpoint));
-                history.retry_after = Some(retry_after);
+                let retry_after = history.record_told(told);
                 if history.refused.len() < self.lag().max_admissions() {
                     return Slot::TryAnother;
                 }
@@ -358,7 +358,7 @@
                 left_ms: millis(endpoint.warm_up_left()),
             }),
             expected_answer_tokens: None,
-            return_key: None,
+            return_key: return_key(self.outgoing.team.as_deref(), &self.route.name, prompt),
         };
         tokio::select! {
             biased;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`RouteIndex`] finds the route and the team of a request, in a table that [`check_table`] accepts.
 //! - [`choose_endpoint`] chooses the endpoint of a request, and [`choose_after_refusal`] another one if that
 //!   refuses.
+//! - [`return_key`] recognises a refused request when its caller comes back.
 //! - [`UsageLag`] decides which endpoints a refused request may still try.
 //! - [`CachedPrefixes`] remembers which endpoints have a prompt prefix cached, and [`choose_kv_source`] where
 //!   to copy it from.
@@ -36,6 +37,7 @@
 mod peer_list;
 mod request_key;
 mod retry_budget;
+mod return_key;
 mod route_index;
 mod stream_origins;
 mod suspects;
@@ -61,6 +63,7 @@
 pub use peer_list::PeerList;
 pub use request_key::{RequestKey, RequestKeyError};
 pub use retry_budget::{RetryBudget, RetryBudgetRules};
+pub use return_key::return_key;
 pub use route_index::RouteIndex;
 pub use stream_origins::{Known, StreamKey, StreamOrigin, StreamOrigins};
 pub use suspects::Suspects;
