Admission: promise a team above its share no more than it gets at the engine

The time in which the queue drains is no time for them. Change: for a team above its fair share prefill times are divided by its part of the engine's recent usage, half of an even part at least.

--- a/crates/admission/src/accounts.rs
+++ b/crates/admission/src/accounts.rs
@@ -123,6 +123,21 @@
         }
     }
 
+    /// Returns the team's part of the recent usage at this engine if it is above the fair share as last computed.
+    ///
+    /// It is taken as half of an even part at least: a team that has had little here goes before others above theirs.
+    pub(crate) fn part_if_above_share(&self, now: Duration, team: &str) -> Option<f64> {
+        if self.used(now, team) <= self.fair_share {
+            return None;
+        }
+        let own = self.local.tokens(now, team);
+        let others = self.local.teams(now).filter(|(other, _)| *other != team);
+        let (count, total) = others.fold((1.0, own), |(count, total), (_, tokens)| {
+            (count + 1.0, total + tokens)
+        });
+        Some((own / total.max(1.0)).max(0.5 / count))
+    }
+
     /// Returns the recent usage of a team at all engines.
     fn used(&self, now: Duration, team: &str) -> f64 {
         self.local.tokens(now, team) + self.remote.tokens(now, team)
--- a/crates/admission/src/queue/returning.rs
+++ b/crates/admission/src/queue/returning.rs
@@ -105,6 +105,7 @@
             prefill_time: self.prefill_rate.time_for(u64::from(tokens)),
             drain_time,
             budget: request.budget,
+            limited_to: self.accounting.part_if_above_share(now, &request.team),
         });
         let ReturnTime {
             retry_after,
--- a/crates/admission/src/returns.rs
+++ b/crates/admission/src/returns.rs
@@ -17,6 +17,9 @@
 /// holds at most half of the engine's rate; the rest is for callers that come for the first time.
 const MIN_TEAMS: usize = 2;
 
+/// Smallest part of the engine's work that a team is taken to get; it keeps times finite.
+const MIN_PART: f64 = 0.001;
+
 /// Shortest time between two places; it bounds how many fit into the time that is promised.
 const MIN_RESERVED: Duration = Duration::from_millis(1);
 
@@ -47,6 +50,12 @@
     reserved: Duration,
 }
 
+impl RefusedRequest<'_> {
+    fn reserved(&self) -> Duration {
+        self.prefill_time.max(MIN_RESERVED)
+    }
+}
+
 impl Promise {
     fn ends(&self) -> Duration {
         self.due + self.reserved
@@ -68,6 +77,9 @@
     pub drain_time: Duration,
     /// Time, from the arrival of the refused attempt, within which the answer had to begin.
     pub budget: Duration,
+    /// The team's part of the engine's recent work, for a team above its fair share. It gets no more than that part
+    /// while others wait, whatever time the queue needs.
+    pub limited_to: Option<f64>,
 }
 
 /// What a refused caller is told.
@@ -100,8 +112,7 @@
                 is_promised: true,
             };
         }
-        let reserved = request.prefill_time.max(MIN_RESERVED);
-        let due = self.next_place(now + request.drain_time, request.team, reserved);
+        let due = self.next_place(now, request);
         let retry_after = due.saturating_sub(now);
         let horizon = request.budget / HORIZON_DIVISOR;
         if retry_after > horizon || self.promises.len() >= MAX_PROMISES {
@@ -115,7 +126,7 @@
             team: request.team.into(),
             tokens: request.tokens,
             due,
-            reserved,
+            reserved: request.reserved(),
         });
         ReturnTime {
             retry_after,
@@ -173,16 +184,23 @@
         self.promises.insert(position, promise);
     }
 
-    /// Returns the first time from `earliest` on at which a place is free for the team.
+    /// Returns the first time at which a place is free for the request.
     ///
     /// The places of a team are apart by its part of the rate. Other teams use the gaps, so a team that asks often
     /// takes no place of one that seldom does.
-    fn next_place(&self, earliest: Duration, team: &str, reserved: Duration) -> Duration {
+    fn next_place(&self, now: Duration, request: RefusedRequest<'_>) -> Duration {
+        let reserved = request.reserved();
         let teams = self.promises.iter().map(|promise| &*promise.team);
-        let teams: HashSet<&str> = teams.chain([team]).collect();
+        let teams: HashSet<&str> = teams.chain([request.team]).collect();
         let teams = u32::try_from(teams.len().max(MIN_TEAMS)).unwrap_or(u32::MAX);
+        let of_limit = request
+            .limited_to
+            .map(|part| reserved.mul_f64(1.0 / part.max(MIN_PART)));
+        let interval = (reserved * teams).max(of_limit.unwrap_or_default());
+        let earliest = now + request.drain_time.max(of_limit.unwrap_or_default());
+        let team = request.team;
         let last = self.promises.iter().rfind(|last| *last.team == *team);
-        let after_last = last.map(|last| last.due + last.reserved * teams);
+        let after_last = last.map(|last| last.due + interval);
         let mut due = after_last.map_or(earliest, |after_last| earliest.max(after_last));
         for promise in &self.promises {
             if promise.ends() <= due {
