--- a/crates/admission/tests/pace.rs
+++ b/crates/admission/tests/pace.rs
@@ -121,6 +121,7 @@
             shared_prefix: None,
             budget: ms(400),
             elsewhere_tokens: 0,
+            return_key: None,
         };
         self.queue.enqueue(self.now(), id, request);
         prompt_tokens
--- a/crates/daemon/src/roles/gateway.rs
+++ b/crates/daemon/src/roles/gateway.rs
@@ -53,6 +53,7 @@
             ..ChoiceRules::default()
         },
         max_spill_tokens: section.max_spill_tokens,
+        keeps_returns: section.keeps_returns,
         max_connections: section.max_connections,
         lost_grace: LOST_GRACE,
         overload: OverloadRules::default(),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -94,6 +94,8 @@
     pub choice: ChoiceRules,
     /// Largest backlog, in prompt tokens, at which an engine still takes a request that another one refused.
     pub max_spill_tokens: u32,
+    /// Whether admissions keep places for refused callers who come back.
+    pub keeps_returns: bool,
     /// Maximum number of open connections from callers.
     pub max_connections: u32,
     /// Length of each of the two waits for the rest of an answer that an engine no longer works on.
@@ -112,6 +114,7 @@
     pub(crate) data_centers: DataCenters,
     pub(crate) choice: ChoiceRules,
     pub(crate) max_spill_tokens: u32,
+    pub(crate) keeps_returns: bool,
     pub(crate) connections: Connections,
     /// Whether overload control refuses new connections.
     pub(crate) is_paused: watch::Sender<bool>,
@@ -265,6 +268,7 @@
             data_centers: settings.data_centers.clone(),
             choice: settings.choice,
             max_spill_tokens: settings.max_spill_tokens,
+            keeps_returns: settings.keeps_returns,
             connections: Connections::new(settings.max_connections),
             is_paused: watch::Sender::new(false),
             stops_at: OnceLock::new(),
--- a/crates/gateway/src/gateway/tests.rs
+++ b/crates/gateway/src/gateway/tests.rs
@@ -72,6 +72,7 @@
         data_centers: DataCenters::default(),
         choice: ChoiceRules::default(),
         max_spill_tokens: 3_000,
+        keeps_returns: true,
         connections: Connections::new(max_connections),
         is_paused: watch::Sender::new(false),
         stops_at: OnceLock::new(),
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -6,7 +6,7 @@
 
 use hinge_routing::{
     Candidate, Holders, Homes, KvSource, Prompt, RequestKey, SpillLimits, StreamKey, StreamOrigin,
-    UsageLag, WarmUpLimits, choose_after_refusal, choose_endpoint, choose_kv_source,
+    UsageLag, WarmUpLimits, choose_after_refusal, choose_endpoint, choose_kv_source, return_key,
     token_copy_time,
 };
 use hinge_schema::routing::{AdmitAsk, AskWarmUp, Engine, Route, WarmUp};
@@ -258,10 +258,10 @@
                 }
                 Slot::TryAnother
             }
-            AskOutcome::Refused { retry_after } => {
+            AskOutcome::Refused(told) => {
                 history.cause = "the admission refused";
                 history.refused.push(Arc::clone(endpoint));
-                history.retry_after = Some(retry_after);
+                let retry_after = history.record_told(told);
                 if history.refused.len() < self.lag().max_admissions() {
                     return Slot::TryAnother;
                 }
@@ -361,7 +361,7 @@
                 left_ms: millis(endpoint.warm_up_left()),
             }),
             expected_answer_tokens: None,
-            return_key: None,
+            return_key: self.return_key(prompt),
         };
         tokio::select! {
             biased;
@@ -370,6 +370,13 @@
         }
     }
 
+    /// Returns the key by which an admission recognises the request when its caller comes back, if places are kept.
+    fn return_key(&self, prompt: &Prompt) -> Option<u64> {
+        let team = self.outgoing.team.as_deref();
+        let key = || return_key(team, &self.route.name, prompt);
+        self.gateway.keeps_returns.then(key).flatten()
+    }
+
     /// Returns whether the request may be sent to an endpoint that has granted no slot for it, and counts it if so.
     ///
     /// While an endpoint warms up, each gateway has a share of the requests that it bears. The admission beside an engine
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`Pace`] tells how fast an endpoint works, by which both of them count its load and its share of the homes.
 //! - [`PlainSpeed`] estimates the speed and load of an endpoint without an engine, and [`choose_plain`] chooses
 //!   among such endpoints.
+//! - [`return_key`] recognises a refused request when its caller comes back.
 //! - [`UsageLag`] decides which endpoints a refused request may still try.
 //! - [`CachedPrefixes`] remembers which endpoints have a prompt prefix cached, and [`choose_kv_source`] where
 //!   to copy it from.
@@ -44,6 +45,7 @@
 mod prefix_homes;
 mod request_key;
 mod retry_budget;
+mod return_key;
 mod route_index;
 mod stream_origins;
 mod suspects;
@@ -72,6 +74,7 @@
 pub use plain_speed::{PlainRequest, PlainSpeed};
 pub use request_key::{RequestKey, RequestKeyError};
 pub use retry_budget::{RetryBudget, RetryBudgetRules};
+pub use return_key::return_key;
 pub use route_index::RouteIndex;
 pub use stream_origins::{Known, StreamKey, StreamOrigin, StreamOrigins};
 pub use suspects::Suspects;
--- a/crates/routing/tests/plain_choice/model.rs
+++ b/crates/routing/tests/plain_choice/model.rs
@@ -359,6 +359,7 @@
                             running: reported.max(known.own_running),
                             slots: SLOTS,
                             backlog: Backlog::default(),
+                            pace: None,
                             is_local: true,
                             has_cached_prefix: false,
                             is_warming_up: false,
