Count why requests are not handed off

Cause: a flooded gateway refuses hundreds of requests a second while the other gateways of its data centre idle and decline few, and the log does not say why it asked none of them. Change: counts of failed offers by reason in the load line of the log.

--- a/crates/gateway/src/handoff.rs
+++ b/crates/gateway/src/handoff.rs
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use hinge_link::ClusterKey;
-use hinge_routing::{Overloaded, PeerGateways};
+use hinge_routing::{OfferFailure, Overloaded, PeerGateways};
 use hinge_telemetry::log::Component;
 use hinge_telemetry::{info, warn};
 use http::header::{CONNECTION, HeaderName};
@@ -84,6 +84,13 @@
         }
     }
 
+    fn failure(self) -> OfferFailure {
+        match self {
+            Self::NoRoom => OfferFailure::Full,
+            Self::OtherTable | Self::WithoutControl | Self::Leaving => OfferFailure::Unable,
+        }
+    }
+
     fn backoff(self) -> Duration {
         match self {
             Self::OtherTable => OTHER_TABLE_BACKOFF,
@@ -252,11 +259,19 @@
         return None;
     }
     if shared.handoffs.peers().in_flight() >= MAX_IN_PROGRESS {
+        shared
+            .overload()
+            .record_offer_failure(OfferFailure::TooMany);
         return None;
     }
     let mut offered: SmallVec<[SocketAddr; MAX_OFFERS]> = SmallVec::new();
     while offered.len() < MAX_OFFERS {
-        let address = shared.handoffs.choose(&offered)?;
+        let Some(address) = shared.handoffs.choose(&offered) else {
+            shared
+                .overload()
+                .record_offer_failure(OfferFailure::NoneLeft);
+            return None;
+        };
         offered.push(address);
         let in_use = PeerUse {
             shared: Arc::clone(shared),
@@ -271,8 +286,16 @@
                 log_handoff(outgoing, address, offered.len(), overloaded);
                 return Some(response);
             }
-            OfferOutcome::Declined(decline) => shared.handoffs.suspend(address, decline.backoff()),
-            OfferOutcome::Unreachable => shared.handoffs.suspend(address, UNREACHABLE_BACKOFF),
+            OfferOutcome::Declined(decline) => {
+                shared.overload().record_offer_failure(decline.failure());
+                shared.handoffs.suspend(address, decline.backoff());
+            }
+            OfferOutcome::Unreachable => {
+                shared
+                    .overload()
+                    .record_offer_failure(OfferFailure::Unreachable);
+                shared.handoffs.suspend(address, UNREACHABLE_BACKOFF);
+            }
             OfferOutcome::Failed(refusal) => {
                 shared.handoffs.suspend(address, UNREACHABLE_BACKOFF);
                 log_failure(outgoing, address, refusal);
--- a/crates/gateway/src/overload.rs
+++ b/crates/gateway/src/overload.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hinge_routing::{LimitKind, OverloadCounts, Overloaded};
+use hinge_routing::{LimitKind, OfferFailure, OverloadCounts, Overloaded};
 use hinge_telemetry::log::Component;
 use hinge_telemetry::readiness::{Readiness, Reason};
 use hinge_telemetry::{info, warn};
@@ -107,6 +107,11 @@
         handed_off = counts.handed_off,
         taken_over = counts.taken_over,
         declined = counts.declined,
+        none_left = counts.offers_failed_as(OfferFailure::NoneLeft),
+        too_many = counts.offers_failed_as(OfferFailure::TooMany),
+        unreachable = counts.offers_failed_as(OfferFailure::Unreachable),
+        others_full = counts.offers_failed_as(OfferFailure::Full),
+        others_unable = counts.offers_failed_as(OfferFailure::Unable),
         refused_all = counts.refused_at(LimitKind::All),
         refused_hot_teams = counts.refused_at(LimitKind::HotTeams),
         refused_other_teams = counts.refused_at(LimitKind::OtherTeams),
--- a/crates/routing/src/counts.rs
+++ b/crates/routing/src/counts.rs
@@ -31,6 +31,32 @@
     }
 }
 
+/// The reason why another gateway did not take a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OfferFailure {
+    /// No other gateway can be asked now.
+    NoneLeft,
+    /// Too many requests are handed off already.
+    TooMany,
+    /// It can't be reached.
+    Unreachable,
+    /// It has no capacity.
+    Full,
+    /// It can't serve the request for another reason, such as another route table.
+    Unable,
+}
+
+impl OfferFailure {
+    /// All reasons.
+    pub const ALL: [Self; 5] = [
+        Self::NoneLeft,
+        Self::TooMany,
+        Self::Unreachable,
+        Self::Full,
+        Self::Unable,
+    ];
+}
+
 /// Counts since they were last taken.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct OverloadCounts {
@@ -44,17 +70,30 @@
     pub taken_over: u32,
     /// Requests of other gateways that this one had no capacity for.
     pub declined: u32,
+    /// Offers to other gateways that failed, by cause.
+    offers_failed: [u32; OfferFailure::ALL.len()],
     refused: [u32; LimitKind::ALL.len()],
     /// Time without listening for connections; attempts to connect fail in it and are not seen here.
     pub closed_time: Duration,
 }
 
 impl OverloadCounts {
+    /// Counts an offer to another gateway that failed.
+    pub(crate) fn record_offer_failure(&mut self, failure: OfferFailure) {
+        self.offers_failed[failure as usize] += 1;
+    }
+
     /// Counts a refused request.
     pub(crate) fn record_refusal(&mut self, kind: LimitKind) {
         self.refused[kind as usize] += 1;
     }
 
+    /// Returns how many offers to other gateways failed for a reason.
+    #[must_use]
+    pub fn offers_failed_as(&self, failure: OfferFailure) -> u32 {
+        self.offers_failed[failure as usize]
+    }
+
     /// Returns how many requests were refused by a limit.
     #[must_use]
     pub fn refused_at(&self, kind: LimitKind) -> u32 {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -60,7 +60,7 @@
 };
 pub use circuit_breaker::{CircuitBreaker, CircuitBreakerRules};
 pub use control_instances::{Address, ControlInstances};
-pub use counts::{LimitKind, OverloadCounts};
+pub use counts::{LimitKind, OfferFailure, OverloadCounts};
 pub use crashes::CrashTracker;
 pub use homes::{DataCenters, Homes, has_homes};
 pub use kv_source::{KvSource, choose_kv_source, token_copy_time};
--- a/crates/routing/src/overload.rs
+++ b/crates/routing/src/overload.rs
@@ -19,7 +19,7 @@
 use std::time::Duration;
 
 use crate::connection_limit::{ConnectionLimit, ListenerState};
-use crate::counts::{LimitKind, OverloadCounts};
+use crate::counts::{LimitKind, OfferFailure, OverloadCounts};
 use crate::handoff_limit::HandoffLimit;
 use crate::team_demand::TeamDemand;
 
@@ -375,6 +375,11 @@
         self.counts.handed_off += 1;
     }
 
+    /// Records that a request could not be handed off, or not to the gateway that was asked.
+    pub fn record_offer_failure(&mut self, failure: OfferFailure) {
+        self.counts.record_offer_failure(failure);
+    }
+
     /// Records that a request without capacity is refused.
     pub fn record_refusal(&mut self, overloaded: &Overloaded) {
         self.counts.record_refusal(overloaded.limit_kind);
