--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -81,6 +81,15 @@
     is_released: bool,
 }
 
+/// What shows how far the engine has prefilled its prompts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ProgressNews {
+    /// Its reports list the requests, and answers begin.
+    ReportsAndAnswers,
+    /// Its reports list no requests.
+    AnswersOnly,
+}
+
 /// The queue of requests that wait for a slot at one engine.
 #[derive(Debug)]
 pub struct AdmissionQueue {
@@ -97,8 +106,7 @@
     silent_since: Option<Duration>,
     /// Start time of the engine in its latest report.
     engine_started_unix_ms: Option<u64>,
-    /// Whether the engine's reports list its requests, which shows their progress.
-    lists_requests: bool,
+    progress_news: ProgressNews,
     /// Whether nothing listens at the engine's address, as far as known.
     engine_is_gone: bool,
     warm_up: WarmUp,
@@ -134,7 +142,7 @@
             reported_at: Duration::ZERO,
             silent_since: None,
             engine_started_unix_ms: None,
-            lists_requests: true,
+            progress_news: ProgressNews::ReportsAndAnswers,
             engine_is_gone: false,
             warm_up: WarmUp::default(),
             engine_restarted: false,
@@ -200,7 +208,11 @@
             self.cache.resize(kv_tokens);
         }
         if report.active > 0 {
-            self.lists_requests = !report.requests.is_empty();
+            self.progress_news = if report.requests.is_empty() {
+                ProgressNews::AnswersOnly
+            } else {
+                ProgressNews::ReportsAndAnswers
+            };
         }
         let requests = report.requests.iter();
         let requests: HashMap<&str, &EngineRequest> = requests
@@ -350,8 +362,12 @@
     /// busy.
     #[must_use]
     pub fn goes_by_pace(&self) -> bool {
-        let has_late_news = self.pace.has_late_news(self.limits.max_unread_tokens);
-        has_late_news || (!self.lists_requests && self.pace.is_measured())
+        match self.progress_news {
+            ProgressNews::ReportsAndAnswers => {
+                self.pace.has_late_news(self.limits.max_unread_tokens)
+            }
+            ProgressNews::AnswersOnly => self.pace.is_measured(),
+        }
     }
 
     /// Returns the engine's pace.
--- a/crates/ctl/tests/fake_control/mod.rs
+++ b/crates/ctl/tests/fake_control/mod.rs
@@ -148,6 +148,16 @@
         })
     }
 
+    fn evacuations(&self, ask: AskEvacuations) -> EvacuationsReply {
+        let state = self.shared.state.lock().expect("lock is not poisoned");
+        let rejected = ask.start.filter(|_| !ask.force);
+        EvacuationsReply::Evacuations(Evacuations {
+            evacuated: Vec::new(),
+            services: state.routing().services_in_use(rejected.as_deref()),
+            rejected: rejected.map(|name| format!("{name} is needed").into()),
+        })
+    }
+
     fn upgrades(&self, ask: &AskUpgrades) -> UpgradesReply {
         if let Err(unavailable) = self.check() {
             return UpgradesReply::Unavailable(unavailable);
@@ -293,15 +303,7 @@
         router,
         "evacuations",
         instance,
-        |instance, ask: AskEvacuations| {
-            let state = instance.shared.state.lock().expect("lock is not poisoned");
-            let rejected = ask.start.filter(|_| !ask.force);
-            Ok(EvacuationsReply::Evacuations(Evacuations {
-                evacuated: Vec::new(),
-                services: state.routing().services_in_use(rejected.as_deref()),
-                rejected: rejected.map(|name| format!("{name} is needed").into()),
-            }))
-        },
+        |instance, ask: AskEvacuations| Ok(instance.evacuations(ask)),
     );
     let router = serve(router, "orders", instance, |instance, ask: AskOrders| {
         let state = instance.shared.state.lock().expect("lock is not poisoned");
