--- a/crates/ctl/tests/fake_control/mod.rs
+++ b/crates/ctl/tests/fake_control/mod.rs
@@ -148,6 +148,22 @@
         })
     }
 
+    fn suspects(&self, ask: AskSuspects) -> SuspectsReply {
+        if let Some(released) = ask.release {
+            let request = released
+                .parse()
+                .expect("the client sends a valid request key");
+            self.shared.apply(Command::Suspects(SuspectsCommand {
+                ends: Vec::new(),
+                completed: vec![request],
+                ..SuspectsCommand::default()
+            }));
+        }
+        let state = self.shared.state.lock().expect("lock is not poisoned");
+        let suspects = state.routing().suspects().records(10);
+        SuspectsReply::Suspects(SuspectRecords { suspects })
+    }
+
     fn evacuations(&self, ask: AskEvacuations) -> EvacuationsReply {
         let state = self.shared.state.lock().expect("lock is not poisoned");
         let rejected = ask.start.filter(|_| !ask.force);
@@ -283,21 +299,7 @@
         router,
         "suspects",
         instance,
-        |instance, ask: AskSuspects| {
-            if let Some(released) = ask.release {
-                let request = released
-                    .parse()
-                    .expect("the client sends a valid request key");
-                instance.shared.apply(Command::Suspects(SuspectsCommand {
-                    ends: Vec::new(),
-                    completed: vec![request],
-                    ..SuspectsCommand::default()
-                }));
-            }
-            let state = instance.shared.state.lock().expect("lock is not poisoned");
-            let suspects = state.routing().suspects().records(10);
-            Ok(SuspectsReply::Suspects(SuspectRecords { suspects }))
-        },
+        |instance, ask: AskSuspects| Ok(instance.suspects(ask)),
     );
     let router = serve(
         router,
