--- a/crates/admission/src/pace.rs
+++ b/crates/admission/src/pace.rs
@@ -73,7 +73,7 @@
 
 /// Multiple of the time for the floor's tokens beyond which news comes too late for the floor to keep the engine busy. Up
 /// to that, reports between the first events keep the queue informed.
-const LATE_NEWS_RATIO: u32 = 2;
+const LATE_NEWS_RATIO: f64 = 2.5;
 
 /// Delay that is assumed of an engine until it is measured.
 const INITIAL_DELAY: Duration = Duration::from_millis(60);
@@ -254,7 +254,7 @@
     pub fn has_late_news(&self, floor_tokens: u32) -> bool {
         let floor = Duration::from_secs_f64(f64::from(floor_tokens) / self.usual_rate());
         let unloaded = self.unloaded_delay.filter(|_| self.is_measured());
-        unloaded.is_some_and(|delay| delay > floor * LATE_NEWS_RATIO)
+        unloaded.is_some_and(|delay| delay > floor.mul_f64(LATE_NEWS_RATIO))
     }
 
     /// Returns the usual rate in tokens per second; it changes only when it is off by more than a fifth.
