--- a/crates/routing/src/choose.rs
+++ b/crates/routing/src/choose.rs
@@ -110,16 +110,16 @@
 impl Default for ChoiceRules {
     /// Returns the defaults.
     ///
-    /// An engine of unknown pace prefills some 25 to 45 tokens per millisecond, hence 40 µs per queued token; at one of
-    /// known pace all costs of tokens and running requests are in proportion to its time per token. Callers wait
-    /// some 500 ms for a first event, so that an idle endpoint must cost less than one with such a queue, however
-    /// long the prefix. Prefilling a prefix again delays other callers of the engine as well, and the most requests are on time with a cost
-    /// of 100 µs or more per missing token. A second home would halve the load of a hot prefix, but the cache
-    /// memory is reused before either home sees the prefix again. A running request adds some 2 ms; beyond
-    /// the slots, a request waits for another one to end. Leaving the data centre costs a round trip and the
-    /// bytes sent, to which users give weight: a kilobyte counts about as much as 30 tokens that are
-    /// prefilled again. An endpoint that warms up looks idle, but bears few requests: it gets those whose
-    /// home it is, and others while the rest of the endpoints have a queue.
+    /// An engine of unknown pace prefills some 25 to 45 tokens per millisecond, hence 40 µs per queued token; at
+    /// one of known pace all costs of tokens and running requests are in proportion to its time per token. Callers
+    /// wait some 500 ms for a first event, so that an idle endpoint must cost less than one with such a queue,
+    /// however long the prefix. Prefilling a prefix again delays other callers of the engine as well, and the most
+    /// requests are on time with a cost of 100 µs or more per missing token. A second home would halve the load of
+    /// a hot prefix, but the cache memory is reused before either home sees the prefix again. A running request
+    /// adds some 2 ms; beyond the slots, a request waits for another one to end. Leaving the data centre costs a
+    /// round trip and the bytes sent, to which users give weight: a kilobyte counts about as much as 30 tokens that
+    /// are prefilled again. An endpoint that warms up looks idle, but bears few requests: it gets those whose home
+    /// it is, and others while the rest of the endpoints have a queue.
     fn default() -> Self {
         Self {
             home_count: 1,
