--- a/crates/admission/tests/server.rs
+++ b/crates/admission/tests/server.rs
@@ -96,7 +96,6 @@
             budget_ms,
             elsewhere_tokens: 0,
             warm_up: None,
-            expected_answer_tokens: None,
             return_key: None,
         };
         self.send(ToAdmission::Ask(request)).await;
--- a/crates/gateway/src/admission_stream/tests.rs
+++ b/crates/gateway/src/admission_stream/tests.rs
@@ -35,7 +35,6 @@
         budget_ms: 2_000,
         elsewhere_tokens: 0,
         warm_up: None,
-        expected_answer_tokens: None,
         return_key: None,
     });
     let verdict = AdmitVerdict {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -360,7 +360,6 @@
                 limits: limits.clone(),
                 left_ms: millis(endpoint.warm_up_left()),
             }),
-            expected_answer_tokens: None,
             return_key: self.return_key(prompt),
         };
         tokio::select! {
