--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -61,12 +61,7 @@
 }
 
 /// Sends a request on a new connection and reads the answer; gives up after a silence of `gap`.
-pub fn exchange(
-    address: SocketAddr,
-    head: &str,
-    body: &[u8],
-    gap: Duration,
-) -> io::Result<Answer> {
+pub fn exchange(address: SocketAddr, head: &str, body: &[u8], gap: Duration) -> io::Result<Answer> {
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(gap))?;
@@ -358,7 +353,8 @@
             .stderr(log)
             .spawn()
             .expect("the stand-in can be started");
-        self.record.line(&format!("started worker {id} at {address}"));
+        self.record
+            .line(&format!("started worker {id} at {address}"));
         Process { child }
     }
 
@@ -430,7 +426,13 @@
 }
 
 /// Sends one request of the stream class, and returns its answer.
-pub fn send_stream(address: SocketAddr, path: &str, id: &str, deadline_ms: u64, gap: Duration) -> io::Result<Answer> {
+pub fn send_stream(
+    address: SocketAddr,
+    path: &str,
+    id: &str,
+    deadline_ms: u64,
+    gap: Duration,
+) -> io::Result<Answer> {
     let body = "{\"spot\":1}";
     let head = format!(
         "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nSequoiahinge-Request-Id: {id}\r\n\
--- a/review/standins/truncated.rs
+++ b/review/standins/truncated.rs
@@ -1,20 +1,26 @@
 //! Streams without a length, and a worker that crashes in the middle of them.
 
-use std::thread;
-use std::time::{Duration, Instant};
+use std::io;
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
 
-use crate::fleet::{Answer, Fleet, HOST, KEY, Record, SERVICE, TENANT, is_in_repository, send_stream};
+use crate::fleet::{
+    Answer, Fleet, HOST, KEY, Process, Record, SERVICE, TENANT, is_in_repository, send_stream,
+};
 use crate::worker::EVENTS;
 
 /// Gateways, and streams through each of them.
 const GATEWAYS: usize = 3;
 const STREAMS: usize = 64;
 
-/// Workers, of which one crashes: a share of 0.25.
+/// Workers, of which one crashes in each round: a share of 0.25.
 const WORKERS: usize = 4;
 
-/// When the worker crashes after the streams began, and how long it is down.
-const CRASH_AFTER: Duration = Duration::from_millis(2_000);
+/// Rounds; the next worker crashes in the next one.
+const ROUNDS: usize = 4;
+
+/// When the worker crashes after the last stream was sent, and how long it is down.
+const CRASH_AFTER: Duration = Duration::from_millis(1_000);
 const DOWN: Duration = Duration::from_millis(2_000);
 
 /// The class `push-text` of the site golfslag-rtr.
@@ -41,13 +47,16 @@
 /// Runs the case; returns 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 pub fn run(record_path: &str) -> u8 {
     if !is_in_repository() {
-        eprintln!("target/release/sequoiahinge is missing: run the build of the deploy file in the root first");
+        eprintln!(
+            "target/release/sequoiahinge is missing: run the build of the deploy file in the root first"
+        );
         return 2;
     }
     let with_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Record::create(record_path);
     let fleet = Fleet::start(&record, WORKERS);
-    let started = (1..=WORKERS).map(|number| fleet.spawn_worker(number, &format!("i-000000000{number}")));
+    let started =
+        (1..=WORKERS).map(|number| fleet.spawn_worker(number, &format!("i-000000000{number}")));
     let mut workers: Vec<_> = started.collect();
     if !fleet.put_configuration(&configuration()) || !fleet.wait_until_ready() {
         record.line("the deployment did not start");
@@ -57,53 +66,29 @@
         record.line("the workers did not become known");
         return 2;
     }
-    let began = Instant::now();
-    let mut clients = Vec::new();
-    for number in 0..GATEWAYS * STREAMS {
-        let gateway = 1 + number % GATEWAYS;
-        let (address, record) = (fleet.front(gateway), record.clone());
-        clients.push(thread::spawn(move || {
-            let id = format!("c{gateway}{number:03}");
-            record.line(&format!("client sends {id} to gateway-{gateway}"));
-            let answer = send_stream(address, "/volo102/2f", &id, DEADLINE_MS, GAP);
-            if let Ok(answer) = &answer {
-                record.line(&format!(
-                    "client {id} got {} with events {}, ended by {}",
-                    answer.status,
-                    span(&answer.event_ids()),
-                    answer.ended_by
-                ));
-            }
-            (id, answer)
-        }));
-        thread::sleep(Duration::from_millis(5));
-    }
-    if with_trouble {
-        thread::sleep((began + CRASH_AFTER).saturating_duration_since(Instant::now()));
-        record.line("worker i-0000000001 crashes (SIGKILL)");
-        workers[0].kill();
-        thread::sleep(DOWN);
-        workers[0] = fleet.spawn_worker(1, "i-0000000009");
-    }
-    let answers: Vec<_> = clients.into_iter().map(|client| client.join().expect("no client panics")).collect();
     let (mut whole, mut cut, mut false_ends) = (0, 0, 0);
-    for (id, answer) in &answers {
-        match answer {
-            Ok(answer) => {
-                if !answer.is_complete || answer.status != 200 {
-                    cut += 1;
-                } else if is_whole(answer) {
-                    whole += 1;
-                } else {
+    for round in 0..ROUNDS {
+        let streams = start_streams(&fleet, round);
+        if with_trouble {
+            crash_worker(&fleet, &mut workers, round);
+        }
+        for stream in streams {
+            let (id, answer) = stream.join().expect("no client panics");
+            match answer {
+                Ok(answer) if answer.status == 200 && answer.is_complete && is_whole(&answer) => {
+                    whole += 1
+                }
+                Ok(answer) if answer.status == 200 && answer.is_complete => {
                     false_ends += 1;
                     record.line(&format!(
                         "BROKEN: {id} ends as complete, though event {EVENTS} never came"
                     ));
                 }
-            }
-            Err(error) => {
-                cut += 1;
-                record.line(&format!("client {id} got no answer: {error}"));
+                Ok(_) => cut += 1,
+                Err(error) => {
+                    cut += 1;
+                    record.line(&format!("client {id} got no answer: {error}"));
+                }
             }
         }
     }
@@ -117,10 +102,49 @@
         "{whole} whole streams, {cut} visibly cut or refused, {false_ends} cut streams that look complete"
     ));
     fleet.finish();
-    println!("{whole} whole, {cut} visibly cut or refused, {false_ends} cut streams that look complete");
+    println!(
+        "{whole} whole, {cut} visibly cut or refused, {false_ends} cut streams that look complete"
+    );
     u8::from(false_ends > 0)
 }
 
+/// Starts the streams of one round, each with a client of its own.
+fn start_streams(fleet: &Fleet, round: usize) -> Vec<JoinHandle<(String, io::Result<Answer>)>> {
+    let mut streams = Vec::new();
+    for number in 0..GATEWAYS * STREAMS {
+        let gateway = 1 + number % GATEWAYS;
+        let (address, record) = (fleet.front(gateway), fleet.record.clone());
+        streams.push(thread::spawn(move || {
+            let id = format!("c{round}{gateway}{number:03}");
+            record.line(&format!("client sends {id} to gateway-{gateway}"));
+            let answer = send_stream(address, "/volo102/2f", &id, DEADLINE_MS, GAP);
+            if let Ok(answer) = &answer {
+                record.line(&format!(
+                    "client {id} got {} with events {}, ended by {}",
+                    answer.status,
+                    span(&answer.event_ids()),
+                    answer.ended_by
+                ));
+            }
+            (id, answer)
+        }));
+        thread::sleep(Duration::from_millis(5));
+    }
+    streams
+}
+
+/// Kills one worker in the middle of its streams, and starts it again under a new id.
+fn crash_worker(fleet: &Fleet, workers: &mut [Process], round: usize) {
+    thread::sleep(CRASH_AFTER);
+    let place = round % WORKERS;
+    fleet
+        .record
+        .line(&format!("worker-{} crashes (SIGKILL)", place + 1));
+    workers[place].kill();
+    thread::sleep(DOWN);
+    workers[place] = fleet.spawn_worker(place + 1, &format!("i-100000000{round}"));
+}
+
 fn is_whole(answer: &Answer) -> bool {
     answer.event_ids() == (1..=EVENTS).collect::<Vec<_>>()
 }
@@ -140,7 +164,9 @@
                 let address = fleet.front(1 + number % GATEWAYS);
                 let id = format!("w{attempt:02}{number:02}");
                 // A short deadline: this only shows that the worker gets the request.
-                thread::spawn(move || send_stream(address, "/volo102/2f", &id, 400, Duration::from_millis(600)))
+                thread::spawn(move || {
+                    send_stream(address, "/volo102/2f", &id, 400, Duration::from_millis(600))
+                })
             })
             .collect();
         for one in tries {
--- a/review/standins/worker.rs
+++ b/review/standins/worker.rs
@@ -79,7 +79,9 @@
             return Ok(());
         }
         let headers = read_headers(&mut reader)?;
-        let length = headers.get("content-length").map_or(0, |text| text.parse().unwrap_or(0));
+        let length = headers
+            .get("content-length")
+            .map_or(0, |text| text.parse().unwrap_or(0));
         let mut body = vec![0; length];
         reader.read_exact(&mut body)?;
         let path = line.split(' ').nth(1).unwrap_or_default();
@@ -95,7 +97,10 @@
             writer.write_all(head.as_bytes())?;
             continue;
         }
-        if headers.get("sequoiahinge-expect-instance").is_some_and(|id| *id != worker.id) {
+        if headers
+            .get("sequoiahinge-expect-instance")
+            .is_some_and(|id| *id != worker.id)
+        {
             let head = format!(
                 "HTTP/1.1 421 Misdirected Request\r\nSequoiahinge-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
                 worker.id
@@ -113,10 +118,23 @@
     headers: &BTreeMap<String, String>,
     writer: &mut TcpStream,
 ) -> io::Result<()> {
-    let request = headers.get("sequoiahinge-request-id").cloned().unwrap_or_default();
-    let after = headers.get("last-event-id").map_or(0, |id| id.parse().unwrap_or(0));
-    println!("{} {} runs {request} after event {after}", now_ms(), worker.id);
-    worker.runs.lock().expect("no holder panics").insert(request.clone(), 0);
+    let request = headers
+        .get("sequoiahinge-request-id")
+        .cloned()
+        .unwrap_or_default();
+    let after = headers
+        .get("last-event-id")
+        .map_or(0, |id| id.parse().unwrap_or(0));
+    println!(
+        "{} {} runs {request} after event {after}",
+        now_ms(),
+        worker.id
+    );
+    worker
+        .runs
+        .lock()
+        .expect("no holder panics")
+        .insert(request.clone(), 0);
     let head = format!(
         "HTTP/1.1 200 OK\r\nSequoiahinge-Request-Id: {request}\r\nSequoiahinge-Server-Stamp: {}.{request}\r\n\
          Content-Type: text/event-stream\r\nConnection: close\r\n\r\n",
@@ -129,17 +147,32 @@
         }
         thread::sleep(EVENT_TIME);
         sent = writer.write_all(format!("id: {event}\ndata: text {event}\n\n").as_bytes());
-        worker.runs.lock().expect("no holder panics").insert(request.clone(), event - after);
+        worker
+            .runs
+            .lock()
+            .expect("no holder panics")
+            .insert(request.clone(), event - after);
     }
-    worker.runs.lock().expect("no holder panics").remove(&request);
-    let outcome = if sent.is_ok() { "ends with event 40" } else { "loses its caller" };
+    worker
+        .runs
+        .lock()
+        .expect("no holder panics")
+        .remove(&request);
+    let outcome = if sent.is_ok() {
+        "ends with event 40"
+    } else {
+        "loses its caller"
+    };
     println!("{} {} {outcome}: {request}", now_ms(), worker.id);
     sent
 }
 
 fn report(worker: &Worker) -> String {
     let runs = worker.runs.lock().expect("no holder panics");
-    let listed: Vec<String> = runs.iter().map(|(id, events)| format!("[\"{id}\",300,{events},1]")).collect();
+    let listed: Vec<String> = runs
+        .iter()
+        .map(|(id, events)| format!("[\"{id}\",300,{events},1]"))
+        .collect();
     let body = format!(
         "{{\"stage\":\"hybrid\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"busy\":false,\"seq\":0,\
          \"queued\":0,\"active\":{},\"kvUsed\":{},\"kvTotal\":279911,\"handles\":0,\"runs\":[{}]}}",
