Control: memory by kind, as a metric and in the log

The instance now counts the bytes of each kind, exports them as control_memory_bytes{kind=...}, and logs them when the resident memory has grown by an eighth.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -142,6 +142,7 @@
             .map_err(OpenError::Bind)?;
         let bound = || server.local_address().to_string().into_boxed_str();
         let address = settings.advertise.clone().unwrap_or_else(bound);
+        let traffic = key.traffic().clone();
         let client = PeerClient::new(key, Arc::clone(&dial));
         // Opening reads and syncs the disk, which must not block the async threads.
         let for_disk = settings.clone();
@@ -163,7 +164,7 @@
             settings, address, client, dial, driver, published,
         ));
         let _first_and_only = state_cell.set(Arc::clone(&core));
-        let metrics = Metrics::register(registry);
+        let metrics = Metrics::register(registry, traffic);
         let tasks = vec![
             tokio::spawn(run_ticks(Arc::clone(&core), metrics)),
             tokio::spawn(follow::run(Arc::clone(&core))),
@@ -240,7 +241,7 @@
 }
 
 /// Maintains the soft state and, on the leader, runs the periodic tasks.
-async fn run_ticks(core: Arc<Core>, metrics: Metrics) {
+async fn run_ticks(core: Arc<Core>, mut metrics: Metrics) {
     let mut node_status = core.driver.node_status.clone();
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -27,6 +27,7 @@
 use tokio::sync::{oneshot, watch};
 
 use self::thread::LogThread;
+use crate::memory::{LiveTables, ThreadBytes};
 use crate::open::Opened;
 use crate::peers::{Batch, Peers};
 use crate::settings::ControlSettings;
@@ -159,6 +160,8 @@
     stalled_after: Duration,
     started_at: Instant,
     pub(crate) commits: Arc<AtomicU64>,
+    /// Bytes that the thread holds, as of its last tick.
+    pub(crate) held_bytes: Arc<ArcSwap<ThreadBytes>>,
 }
 
 impl Driver {
@@ -203,6 +206,7 @@
         let lease_until_us = Arc::new(AtomicU64::new(0));
         let last_round_us = Arc::new(AtomicU64::new(0));
         let commits = Arc::new(AtomicU64::new(0));
+        let held_bytes = Arc::new(ArcSwap::from_pointee(ThreadBytes::default()));
         let thread = LogThread {
             own_id: opened.node_id,
             own_name: settings.instance.clone(),
@@ -238,6 +242,8 @@
             lease_until_us: Arc::clone(&lease_until_us),
             last_round_us: Arc::clone(&last_round_us),
             commits: Arc::clone(&commits),
+            live_tables: LiveTables::default(),
+            held_bytes: Arc::clone(&held_bytes),
         };
         std::thread::Builder::new()
             .name("control-log".to_owned())
@@ -252,6 +258,7 @@
             stalled_after: settings.election_timeout * STALLED_AFTER_TIMEOUTS,
             started_at,
             commits,
+            held_bytes,
         })
     }
 
--- a/crates/control/src/driver/thread.rs
+++ b/crates/control/src/driver/thread.rs
@@ -18,6 +18,7 @@
 use super::{
     Input, LogError, MAX_BATCH_INPUTS, NodeStatus, ReadCallback, ReplySender, View, view_of,
 };
+use crate::memory::{LiveTables, ThreadBytes};
 use crate::open::Log;
 use crate::peers::{Batch, Peers};
 
@@ -62,6 +63,8 @@
     pub(super) lease_until_us: Arc<AtomicU64>,
     pub(super) last_round_us: Arc<AtomicU64>,
     pub(super) commits: Arc<AtomicU64>,
+    pub(super) live_tables: LiveTables,
+    pub(super) held_bytes: Arc<ArcSwap<ThreadBytes>>,
 }
 
 impl LogThread {
@@ -107,6 +110,7 @@
                 self.record_founders(now);
                 self.remove_diskless_voters(now);
                 self.raise_format(now);
+                self.publish_held_bytes();
             }
             self.process_output()?;
             if self.may_stop() {
@@ -368,6 +372,9 @@
                 .iter()
                 .filter_map(|id| self.peers.address(*id));
             let peer_addresses = peer_addresses.map(Box::from).collect();
+            if let Some(table) = self.state.routing().table() {
+                self.live_tables.record(Arc::downgrade(table));
+            }
             let view = view_of(&self.state, &self.seen_peers, peer_addresses);
             self.view.store(Arc::new(view));
             has_changes = true;
@@ -385,6 +392,14 @@
         }
     }
 
+    fn publish_held_bytes(&self) {
+        self.held_bytes.store(Arc::new(ThreadBytes {
+            node: self.node.held_bytes(),
+            queued_messages: self.peers.queued_bytes(),
+            tables: self.live_tables.held_bytes(),
+        }));
+    }
+
     fn current_node_status(&mut self) -> NodeStatus {
         let status = self.node.status();
         let is_leader = status.role == Role::Leader;
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -16,6 +16,7 @@
 mod evacuation_calls;
 mod follow;
 mod join;
+mod memory;
 mod metrics;
 mod open;
 mod operator_calls;
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -2,10 +2,12 @@
 
 use std::sync::atomic::{AtomicI64, Ordering};
 
+use hinge_link::Traffic;
 use hinge_telemetry::metrics::Registry;
 use prometheus_client::metrics::gauge::Gauge;
 
 use crate::core::Core;
+use crate::memory::MemoryGauges;
 
 /// The gauges of a control instance.
 #[derive(Debug)]
@@ -20,10 +22,11 @@
     members: Gauge<i64, AtomicI64>,
     open_orders: Gauge<i64, AtomicI64>,
     refused_reports: Gauge<i64, AtomicI64>,
+    memory: MemoryGauges,
 }
 
 impl Metrics {
-    pub(crate) fn register(registry: &Registry) -> Self {
+    pub(crate) fn register(registry: &Registry, traffic: Traffic) -> Self {
         Self {
             term: registry.gauge("control_term", "Term of the replicated log"),
             leading: registry.gauge(
@@ -50,10 +53,12 @@
                 "control_refused_reports",
                 "Reports of endpoints that were refused here since the start",
             ),
+            memory: MemoryGauges::register(registry, traffic),
         }
     }
 
-    pub(crate) fn update(&self, core: &Core) {
+    pub(crate) fn update(&mut self, core: &Core) {
+        self.memory.update(core);
         let node_status = core.driver.node_status.borrow().clone();
         self.term.set(to_gauge(node_status.term));
         self.leading.set(i64::from(node_status.may_answer));
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -1,6 +1,8 @@
 //! Sends Raft messages to the other control instances, in batches and in order.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use hinge_raft::{Message, NodeId};
@@ -68,6 +70,8 @@
     runtime: Handle,
     sender: SenderInfo,
     links: BTreeMap<NodeId, PeerLink>,
+    /// Bytes of entries and snapshots in messages that are queued or on the way.
+    queued_bytes: Arc<AtomicUsize>,
 }
 
 impl Peers {
@@ -77,9 +81,15 @@
             runtime,
             sender,
             links: BTreeMap::new(),
+            queued_bytes: Arc::default(),
         }
     }
 
+    /// Returns the bytes of entries and snapshots in messages that are queued or on the way.
+    pub(crate) fn queued_bytes(&self) -> usize {
+        self.queued_bytes.load(Ordering::Relaxed)
+    }
+
     /// Records the address of an instance, and connects to it if it is new.
     pub(crate) fn learn(&mut self, node_id: NodeId, address: &str) {
         if node_id == self.sender.node_id {
@@ -100,6 +110,7 @@
             address.into(),
             self.sender.clone(),
             receiver,
+            Arc::clone(&self.queued_bytes),
         );
         self.runtime.spawn(task);
     }
@@ -111,8 +122,12 @@
 
     /// Sends a message, or drops it when the receiver is unknown or slow; Raft tolerates lost messages.
     pub(crate) fn send(&self, message: Message) {
-        if let Some(link) = self.links.get(&message.to) {
-            let _may_be_dropped = link.messages.try_send(message);
+        let Some(link) = self.links.get(&message.to) else {
+            return;
+        };
+        let bytes = message.payload_bytes();
+        if link.messages.try_send(message).is_ok() {
+            self.queued_bytes.fetch_add(bytes, Ordering::Relaxed);
         }
     }
 }
@@ -122,6 +137,7 @@
     address: Box<str>,
     sender: SenderInfo,
     mut receiver: mpsc::Receiver<Message>,
+    queued_bytes: Arc<AtomicUsize>,
 ) {
     let mut messages = Vec::new();
     while receiver.recv_many(&mut messages, MAX_BATCH_MESSAGES).await > 0 {
@@ -135,9 +151,13 @@
         let sent = client
             .call::<_, BatchAccepted>(&address, RAFT_PATH, &batch, CALL_TIMEOUT)
             .await;
+        let mut released: usize = batch.messages.iter().map(Message::payload_bytes).sum();
         if sent.is_err() {
             // Messages queued behind a failed call are as old; Raft sends newer ones to a peer that comes back.
-            while receiver.try_recv().is_ok() {}
+            while let Ok(dropped) = receiver.try_recv() {
+                released += dropped.payload_bytes();
+            }
         }
+        queued_bytes.fetch_sub(released, Ordering::Relaxed);
     }
 }
--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -130,7 +130,7 @@
         let message = encode(message).map_err(CallError::Codec)?;
         let (traffic, class) = (self.key.traffic(), MessageClass::of_path(path));
         traffic.record_message(class, Direction::Sent, message.len());
-        let body = Full::new(Bytes::from(message)).boxed();
+        let body = Full::new(traffic.hold_unsent(message)).boxed();
         let request = self.build_request(address, path, body)?;
         let answer = timeout(wait, self.read_answer(request))
             .await
--- a/crates/link/src/server.rs
+++ b/crates/link/src/server.rs
@@ -247,9 +247,9 @@
     };
     match encode(&answered) {
         Ok(bytes) => {
-            key.traffic()
-                .record_message(class, Direction::Sent, bytes.len());
-            Ok(bytes.into_response())
+            let traffic = key.traffic();
+            traffic.record_message(class, Direction::Sent, bytes.len());
+            Ok(traffic.hold_unsent(bytes).into_response())
         }
         Err(_no_form) => Ok(StatusCode::INTERNAL_SERVER_ERROR.into_response()),
     }
--- a/crates/link/src/traffic.rs
+++ b/crates/link/src/traffic.rs
@@ -10,6 +10,7 @@
 use std::sync::OnceLock;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
+use bytes::Bytes;
 use prometheus_client::metrics::counter::Counter;
 
 /// The purpose of a message.
@@ -125,6 +126,27 @@
 #[derive(Clone, Default)]
 pub struct Traffic {
     directions: Arc<[DirectionCounters; 2]>,
+    /// Bytes of encoded messages that are not written to their sockets yet.
+    unsent_bytes: Arc<AtomicU64>,
+}
+
+/// An encoded message, counted as unsent until its last byte is released.
+struct UnsentMessage {
+    bytes: Vec<u8>,
+    unsent_bytes: Arc<AtomicU64>,
+}
+
+impl AsRef<[u8]> for UnsentMessage {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl Drop for UnsentMessage {
+    fn drop(&mut self) {
+        let bytes = self.bytes.len() as u64;
+        self.unsent_bytes.fetch_sub(bytes, Ordering::Relaxed);
+    }
 }
 
 impl fmt::Debug for Traffic {
@@ -148,6 +170,7 @@
         };
         Self {
             directions: Arc::new([counters(Direction::Sent), counters(Direction::Received)]),
+            unsent_bytes: Arc::default(),
         }
     }
 
@@ -176,6 +199,22 @@
             .sum()
     }
 
+    /// Returns the bytes of encoded calls and answers that are not written to their sockets yet.
+    #[must_use]
+    pub fn unsent_bytes(&self) -> u64 {
+        self.unsent_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Counts an encoded message as unsent until the returned bytes are dropped.
+    pub(crate) fn hold_unsent(&self, bytes: Vec<u8>) -> Bytes {
+        let unsent_bytes = Arc::clone(&self.unsent_bytes);
+        unsent_bytes.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+        Bytes::from_owner(UnsentMessage {
+            bytes,
+            unsent_bytes,
+        })
+    }
+
     pub(crate) fn record_message(&self, class: MessageClass, direction: Direction, bytes: usize) {
         let counters = self.counters(direction);
         counters.messages[class as usize].inc();
--- a/crates/raft/src/lib.rs
+++ b/crates/raft/src/lib.rs
@@ -11,6 +11,7 @@
 mod config;
 mod election;
 mod error;
+mod held;
 mod lease;
 mod log;
 mod membership;
@@ -28,6 +29,7 @@
 
 pub use config::Config;
 pub use error::{ConfigError, MembershipError, OpenError, ProposeError, ReadError, TransferError};
+pub use held::HeldBytes;
 pub use membership::MembershipChange;
 pub use message::{AppendResult, Body, Message};
 pub use node::{Node, PeerStatus, PersistentState, Status};
--- a/crates/raft/src/log.rs
+++ b/crates/raft/src/log.rs
@@ -75,6 +75,11 @@
         self.entries.get(usize::try_from(position).ok()?)
     }
 
+    /// Returns the entries that are in memory, in order.
+    pub(crate) fn entries(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.iter()
+    }
+
     /// Returns copies of the entries from `from` on, up to `max_bytes` but at least one if there is any.
     pub(crate) fn batch(&self, from: Index, max_bytes: usize) -> Vec<Entry> {
         let mut batch = Vec::new();
--- a/crates/raft/src/message.rs
+++ b/crates/raft/src/message.rs
@@ -20,6 +20,18 @@
     pub body: Body,
 }
 
+impl Message {
+    /// Returns the bytes of the entries or of the snapshot's part that the message carries.
+    #[must_use]
+    pub fn payload_bytes(&self) -> usize {
+        match &self.body {
+            Body::Append { entries, .. } => entries.iter().map(|entry| entry.payload.len()).sum(),
+            Body::SnapshotChunk { data, .. } => data.len(),
+            _ => 0,
+        }
+    }
+}
+
 /// The body of a message: a request or a reply.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Body {
--- a/crates/raft/src/snapshot.rs
+++ b/crates/raft/src/snapshot.rs
@@ -20,6 +20,12 @@
     state: Vec<u8>,
 }
 
+impl IncomingSnapshot {
+    pub(crate) fn received_bytes(&self) -> usize {
+        self.state.len()
+    }
+}
+
 impl Node {
     /// Saves the driver's state as of `last_index`, an index that it has applied, and compacts the log before it.
     ///
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -18,6 +18,7 @@
 //!   another gateway for them.
 //! - [`StreamOrigins`] remembers which software version began a stream, and [`PeerList`] the gateways that keep
 //!   copies of that.
+//! - [`table_bytes`] estimates the memory of a route table.
 //! - [`ControlInstances`] selects the control instances that a gateway queries.
 //! - [`CrashTracker`] tells which requests, named by their [`RequestKey`], an endpoint was running when it
 //!   crashed, and [`Suspects`] which of them, or which of their prompt parts, crash their endpoints;
@@ -49,6 +50,7 @@
 mod route_index;
 mod stream_origins;
 mod suspects;
+mod table_bytes;
 mod team_demand;
 mod usage_lag;
 mod warm_up;
@@ -78,5 +80,6 @@
 pub use route_index::RouteIndex;
 pub use stream_origins::{Known, StreamKey, StreamOrigin, StreamOrigins};
 pub use suspects::Suspects;
+pub use table_bytes::table_bytes;
 pub use usage_lag::{Backlog, BacklogLimits, SpillLimits, UsageLag};
 pub use warm_up::{WarmUp, WarmUpLimits, WarmUpShare};
