--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -50,6 +50,9 @@
 /// Entries kept in memory behind a snapshot, so that a follower that missed a minute of changes needs no snapshot.
 const KEPT_ENTRIES: u64 = 128;
 
+/// Bytes of those entries. An entry may be 4 MiB long, and a snapshot is shorter than a few of the longest.
+const KEPT_BYTES: usize = 1 << 20;
+
 /// Clock ticks per heartbeat interval.
 const TICKS_PER_HEARTBEAT: u32 = 4;
 
@@ -183,6 +186,7 @@
         config.max_pending_bytes = MAX_PENDING_BYTES;
         config.max_inflight_batches = MAX_INFLIGHT_BATCHES;
         config.keep_entries = KEPT_ENTRIES;
+        config.keep_bytes = KEPT_BYTES;
         for (node_id, name) in opened.founding.iter().chain(opened.state.control()) {
             peers.learn(*node_id, &name.address);
         }
--- a/crates/raft/src/config.rs
+++ b/crates/raft/src/config.rs
@@ -29,6 +29,8 @@
 const SNAPSHOT_CHUNK_BYTES: usize = 64 * 1024;
 /// Entries before a snapshot that stay in memory, so that a follower that lags slightly needs no snapshot.
 const KEEP_ENTRIES: u64 = 512;
+/// Bytes of those entries; a follower that lags further gets the snapshot, which is about as long.
+const KEEP_BYTES: usize = 1024 * 1024;
 
 /// The identity, timeouts and limits of a node.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -57,8 +59,10 @@
     pub max_pending_reads: usize,
     /// Maximum bytes of a snapshot in one message.
     pub snapshot_chunk_bytes: usize,
-    /// Entries before a snapshot that stay in memory.
+    /// Maximum number of entries before a snapshot that stay in memory.
     pub keep_entries: u64,
+    /// Maximum bytes of entries before a snapshot that stay in memory.
+    pub keep_bytes: usize,
 }
 
 impl Config {
@@ -79,6 +83,7 @@
             max_pending_reads: MAX_PENDING_READS,
             snapshot_chunk_bytes: SNAPSHOT_CHUNK_BYTES,
             keep_entries: KEEP_ENTRIES,
+            keep_bytes: KEEP_BYTES,
         }
     }
 
--- a/crates/raft/src/log.rs
+++ b/crates/raft/src/log.rs
@@ -141,8 +141,10 @@
             .retain(|(index, _)| *index < from || *index <= self.base_index);
     }
 
-    /// Removes the entries up to and including `to`, which are included in a snapshot.
-    pub(crate) fn compact(&mut self, to: Index) {
+    /// Removes entries up to and including `last`, which are included in a snapshot; the newest of them stay, up to a
+    /// number and a total size.
+    pub(crate) fn compact(&mut self, last: Index, keep_entries: u64, keep_bytes: usize) {
+        let to = self.last_index_beyond(last, keep_entries, keep_bytes);
         while self.entries.front().is_some_and(|entry| entry.index <= to) {
             let entry = self.entries.pop_front().expect("the front was just seen");
             self.base_index = entry.index;
@@ -157,6 +159,21 @@
         }
     }
 
+    /// Returns the last index before the newest entries up to `last` that stay within a number and a total size.
+    fn last_index_beyond(&self, last: Index, keep_entries: u64, keep_bytes: usize) -> Index {
+        let oldest_kept = last.saturating_sub(keep_entries);
+        let mut bytes = 0;
+        let mut index = last;
+        while index > oldest_kept {
+            bytes += self.get(index).map_or(0, |entry| entry.payload.len());
+            if bytes > keep_bytes {
+                break;
+            }
+            index -= 1;
+        }
+        index
+    }
+
     /// Replaces the whole log with a snapshot.
     pub(crate) fn reset(&mut self, snapshot: &Snapshot) {
         self.base_index = snapshot.last_index;
--- a/crates/raft/src/snapshot.rs
+++ b/crates/raft/src/snapshot.rs
@@ -52,7 +52,7 @@
             .write_unawaited(Write::SaveSnapshot(snapshot.clone()));
         self.snapshot = Some(Arc::new(snapshot));
         self.log
-            .compact(last_index.saturating_sub(self.config.keep_entries));
+            .compact(last_index, self.config.keep_entries, self.config.keep_bytes);
         true
     }
 
--- a/crates/raft/tests/raft/main.rs
+++ b/crates/raft/tests/raft/main.rs
@@ -3,6 +3,7 @@
 mod codec;
 mod fault_schedules;
 mod measurements;
+mod memory;
 mod scenarios;
 mod simulation;
 mod single_node;
