Raft and control: messages in flight are bounded in bytes

Bounds on messages counted messages: four appends of up to 4 MiB were in flight to each follower, 256 queued for each peer and 8,192 for the log's thread, each with a copy of its entries. A member that was gone got the same entries every two heartbeats, and a follower with a hanging disk queued them all.

In flight to one follower are 1 MiB, or one longer append; queued for and on the way to one peer 2 MiB; encoded calls to all peers 8 MiB together; waiting for the thread 8 MiB. Heartbeats pass all of these bounds.

--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -14,7 +14,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{SyncSender, sync_channel};
 use std::time::{Duration, Instant};
 
@@ -44,9 +44,18 @@
 /// Total size of uncommitted proposals: two of the longest, which fits control's memory limit of 32 MB.
 const MAX_PENDING_BYTES: usize = 8 << 20;
 
-/// Append messages in flight to one follower; with entries of maximum size, more would not fit the memory.
+/// Bytes of entries in one append message; a longer entry is sent alone.
+const MAX_BATCH_BYTES: usize = 256 << 10;
+
+/// Append messages in flight to one follower.
 const MAX_INFLIGHT_BATCHES: usize = 4;
 
+/// Bytes of the append messages in flight to one follower; a longer one is in flight alone.
+const MAX_INFLIGHT_BYTES: usize = 1 << 20;
+
+/// Bytes of entries and snapshots in the messages that wait for the thread.
+const MAX_QUEUED_BATCH_BYTES: usize = 8 << 20;
+
 /// Entries kept in memory behind a snapshot, so that a follower that missed a minute of changes needs no snapshot.
 const KEPT_ENTRIES: u64 = 128;
 
@@ -155,6 +164,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Driver {
     inputs: SyncSender<Input>,
+    /// Bytes of entries and snapshots in the batches that wait for the thread.
+    queued_batch_bytes: Arc<AtomicUsize>,
     pub(crate) node_status: watch::Receiver<NodeStatus>,
     pub(crate) view: Arc<ArcSwap<View>>,
     lease_until_us: Arc<AtomicU64>,
@@ -182,9 +193,11 @@
         config.lease = settings.election_timeout;
         config.clock_drift_margin = settings.election_timeout / 10;
         config.heartbeat_interval = settings.heartbeat;
-        config.max_batch_bytes = MAX_PROPOSAL_BYTES;
+        config.max_batch_bytes = MAX_BATCH_BYTES;
+        config.max_proposal_bytes = MAX_PROPOSAL_BYTES;
         config.max_pending_bytes = MAX_PENDING_BYTES;
         config.max_inflight_batches = MAX_INFLIGHT_BATCHES;
+        config.max_inflight_bytes = MAX_INFLIGHT_BYTES;
         config.keep_entries = KEPT_ENTRIES;
         config.keep_bytes = KEPT_BYTES;
         for (node_id, name) in opened.founding.iter().chain(opened.state.control()) {
@@ -211,7 +224,9 @@
         let last_round_us = Arc::new(AtomicU64::new(0));
         let commits = Arc::new(AtomicU64::new(0));
         let held_bytes = Arc::new(ArcSwap::from_pointee(ThreadBytes::default()));
+        let queued_batch_bytes = Arc::new(AtomicUsize::new(0));
         let thread = LogThread {
+            queued_batch_bytes: Arc::clone(&queued_batch_bytes),
             own_id: opened.node_id,
             own_name: settings.instance.clone(),
             started_at,
@@ -255,6 +270,7 @@
             .expect("the log thread can be spawned");
         Ok(Self {
             inputs,
+            queued_batch_bytes,
             node_status,
             view,
             lease_until_us,
@@ -287,9 +303,18 @@
         self.age() > self.stalled_after
     }
 
-    /// Queues messages of another instance for the log; returns false when the queue is full.
+    /// Queues messages of another instance for the log; returns false when the queue is full, by number or by bytes.
+    ///
+    /// While the thread waits for a hanging disk, the leader sends the same entries over and over.
     pub(crate) fn receive(&self, batch: Batch) -> bool {
-        self.inputs.try_send(Input::Batch(batch)).is_ok()
+        let bytes = batch.payload_bytes();
+        let before = self.queued_batch_bytes.fetch_add(bytes, Ordering::Relaxed);
+        let has_room = bytes == 0 || before == 0 || before + bytes <= MAX_QUEUED_BATCH_BYTES;
+        let is_queued = has_room && self.inputs.try_send(Input::Batch(batch)).is_ok();
+        if !is_queued {
+            self.queued_batch_bytes.fetch_sub(bytes, Ordering::Relaxed);
+        }
+        is_queued
     }
 
     /// Proposes a command and returns its reply once it is durable on a majority and applied.
--- a/crates/control/src/driver/tests/stalled.rs
+++ b/crates/control/src/driver/tests/stalled.rs
@@ -7,13 +7,14 @@
 use std::sync::Arc;
 use std::sync::mpsc::sync_channel;
 
+use bytes::Bytes;
 use hinge_cases::async_cases;
 use hinge_link::ClusterKey;
-use hinge_raft::{Body, Message};
+use hinge_raft::{Body, Entry, EntryKind, Message};
 use tokio::runtime::Handle;
 use tokio::sync::watch;
 
-use super::super::{Driver, Input};
+use super::super::{Driver, Input, MAX_QUEUED_BATCH_BYTES};
 use crate::core::{Core, Leadership};
 use crate::open;
 use crate::peer_client::{Direct, PeerClient};
@@ -60,8 +61,13 @@
     Arc::new(core)
 }
 
-/// Delivers a heartbeat from the leader, in a term so high that it outranks any earlier one.
+/// Delivers a heartbeat from the leader.
 fn deliver_heartbeat(core: &Core) {
+    assert!(deliver_append(core, Vec::new()), "the log accepts messages");
+}
+
+/// Delivers entries from the leader, in a term so high that it outranks any earlier one; returns whether they are queued.
+fn deliver_append(core: &Core, entries: Vec<Entry>) -> bool {
     let from = open::founder_id("test", LEADER);
     let heartbeat = Message {
         cluster_id: hinge_state::keys::fnv1a(b"test"),
@@ -71,7 +77,7 @@
         body: Body::Append {
             prev_index: 0,
             prev_term: 0,
-            entries: Vec::new(),
+            entries,
             commit: 0,
             round: 1,
         },
@@ -83,7 +89,7 @@
         format: 0,
         messages: vec![heartbeat],
     };
-    assert!(core.driver.receive(batch), "the log accepts messages");
+    core.driver.receive(batch)
 }
 
 /// Returns whether the instance reaches the given view of the leadership in time.
@@ -112,4 +118,20 @@
         assert!(reaches(&core, &follows).await, "it handles the messages that arrived meanwhile");
         core.driver.stop();
     }
+
+    // Guards against a follower that collects the same large entries in memory for as long as its disk hangs.
+    a_stalled_follower_queues_a_bounded_number_of_bytes => {
+        let core = follower();
+        deliver_heartbeat(&core);
+        assert!(reaches(&core, &Leadership::Remote(LEADER.into())).await, "the follower knows the leader");
+        let (release, blocked) = sync_channel::<()>(0);
+        let block: super::super::ReadCallback = Box::new(move |_| _ = blocked.recv());
+        core.driver.send_input(Input::Read(block)).expect("the log runs");
+        let entry = Entry { term: 1_000, index: 1, kind: EntryKind::Command, payload: Bytes::from(vec![0; 700_000]) };
+        let queued = (0..100).filter(|_| deliver_append(&core, vec![entry.clone()])).count();
+        assert!(queued > 0 && queued * entry.payload.len() <= MAX_QUEUED_BATCH_BYTES, "{queued} messages");
+        deliver_heartbeat(&core);
+        drop(release);
+        core.driver.stop();
+    }
 }
--- a/crates/control/src/driver/thread.rs
+++ b/crates/control/src/driver/thread.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::time::{Duration, Instant};
 
@@ -23,6 +23,8 @@
 use crate::peers::{Batch, Peers};
 
 pub(super) struct LogThread {
+    /// Bytes of entries and snapshots in the batches that wait as inputs.
+    pub(super) queued_batch_bytes: Arc<AtomicUsize>,
     pub(super) own_id: NodeId,
     pub(super) own_name: Box<str>,
     pub(super) started_at: Instant,
@@ -147,6 +149,8 @@
     }
 
     fn step(&mut self, now: Duration, batch: Batch) {
+        self.queued_batch_bytes
+            .fetch_sub(batch.payload_bytes(), Ordering::Relaxed);
         self.peers.learn(batch.from, &batch.address);
         if self.seen_peers.insert(batch.from) {
             self.is_view_stale = true;
@@ -396,6 +400,7 @@
         self.held_bytes.store(Arc::new(ThreadBytes {
             node: self.node.held_bytes(),
             queued_messages: self.peers.queued_bytes(),
+            queued_inputs: self.queued_batch_bytes.load(Ordering::Relaxed),
             tables: self.live_tables.held_bytes(),
         }));
     }
--- a/crates/control/src/memory.rs
+++ b/crates/control/src/memory.rs
@@ -28,6 +28,8 @@
     pub(crate) node: HeldBytes,
     /// Entries in messages that wait for their receiver or are on the way to it.
     pub(crate) queued_messages: usize,
+    /// Entries and snapshots in received messages that wait for the thread.
+    pub(crate) queued_inputs: usize,
     /// Decoded route tables: the one in force, and earlier ones that a call still uses.
     pub(crate) tables: usize,
 }
@@ -91,6 +93,7 @@
             ("earlier_snapshots", node.earlier_snapshots as u64),
             ("incoming_snapshot", node.incoming_snapshot as u64),
             ("queued_messages", thread.queued_messages as u64),
+            ("queued_inputs", thread.queued_inputs as u64),
             ("unsent_calls", unsent_calls),
             ("tables", thread.tables as u64),
             ("resident", resident),
@@ -114,6 +117,7 @@
             earlier_snapshots = node.earlier_snapshots,
             incoming_snapshot = node.incoming_snapshot,
             queued_messages = thread.queued_messages,
+            queued_inputs = thread.queued_inputs,
             unsent_calls = unsent_calls,
             tables = thread.tables
         );
--- a/crates/control/src/open.rs
+++ b/crates/control/src/open.rs
@@ -7,6 +7,7 @@
 use std::io::{self, Write as _};
 use std::path::Path;
 
+use bytes::Bytes;
 use hinge_raft::{Membership, NodeId, PersistentState, Snapshot, Write};
 use hinge_state::keys::fnv1a;
 use hinge_state::{ControlName, RestoreError, State};
@@ -230,7 +231,7 @@
             voters: founding.keys().copied().collect(),
             learners: Vec::new(),
         },
-        state: Box::default(),
+        state: Bytes::new(),
     }
 }
 
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -11,17 +11,31 @@
 use tokio::runtime::Handle;
 use tokio::sync::mpsc;
 
+use crate::byte_budget::ByteBudget;
 use crate::peer_client::PeerClient;
 
+#[cfg(test)]
+mod tests;
+
 /// Path of Raft messages.
 pub(crate) const RAFT_PATH: &str = "/v1/raft";
 
 /// Queue length per peer; Raft retransmits messages that are dropped beyond it.
 const MAX_QUEUED_MESSAGES: usize = 256;
 
-/// Maximum number of messages per call; together they stay far below the message limit of a link.
+/// Maximum number of messages per call.
 const MAX_BATCH_MESSAGES: usize = 64;
 
+/// Bytes of entries and snapshots queued for and on the way to one peer, twice what Raft has in flight; a longer message is
+/// queued alone.
+const MAX_PEER_BYTES: usize = 2 << 20;
+
+/// Bytes of encoded calls to all peers together, besides those below `SMALL_CALL_BYTES`.
+const MAX_CALLS_BYTES: usize = 8 << 20;
+
+/// Length up to which a call need not wait for the others, so that heartbeats are never held up.
+const SMALL_CALL_BYTES: usize = 64 << 10;
+
 /// Timeout of one call; older messages are useless, since Raft has retransmitted them by then.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -42,6 +56,13 @@
     pub(crate) messages: Vec<Message>,
 }
 
+impl Batch {
+    /// Returns the bytes of the entries and snapshots in the messages.
+    pub(crate) fn payload_bytes(&self) -> usize {
+        self.messages.iter().map(Message::payload_bytes).sum()
+    }
+}
+
 /// The fields that identify this instance in its messages to peers.
 #[derive(Debug, Clone)]
 pub(crate) struct SenderInfo {
@@ -61,6 +82,20 @@
 struct PeerLink {
     address: Box<str>,
     messages: mpsc::Sender<Message>,
+    /// Bytes of entries and snapshots in messages that are queued or on the way.
+    bytes: Arc<AtomicUsize>,
+}
+
+impl PeerLink {
+    /// Queues a message, or drops it if too much is queued.
+    fn send(&self, message: Message) {
+        let bytes = message.payload_bytes();
+        let before = self.bytes.fetch_add(bytes, Ordering::Relaxed);
+        let has_room = bytes == 0 || before == 0 || before + bytes <= MAX_PEER_BYTES;
+        if !has_room || self.messages.try_send(message).is_err() {
+            self.bytes.fetch_sub(bytes, Ordering::Relaxed);
+        }
+    }
 }
 
 /// The links to the other instances, with one sending task each.
@@ -70,8 +105,8 @@
     runtime: Handle,
     sender: SenderInfo,
     links: BTreeMap<NodeId, PeerLink>,
-    /// Bytes of entries and snapshots in messages that are queued or on the way.
-    queued_bytes: Arc<AtomicUsize>,
+    /// Limits the encoded calls, which are copies for each peer.
+    calls: ByteBudget,
 }
 
 impl Peers {
@@ -81,13 +116,14 @@
             runtime,
             sender,
             links: BTreeMap::new(),
-            queued_bytes: Arc::default(),
+            calls: ByteBudget::new(MAX_CALLS_BYTES),
         }
     }
 
     /// Returns the bytes of entries and snapshots in messages that are queued or on the way.
     pub(crate) fn queued_bytes(&self) -> usize {
-        self.queued_bytes.load(Ordering::Relaxed)
+        let links = self.links.values();
+        links.map(|link| link.bytes.load(Ordering::Relaxed)).sum()
     }
 
     /// Records the address of an instance, and connects to it if it is new.
@@ -103,14 +139,17 @@
         let link = PeerLink {
             address: address.into(),
             messages: sender,
+            bytes: Arc::default(),
         };
+        let bytes = Arc::clone(&link.bytes);
         self.links.insert(node_id, link);
         let task = send_all(
             self.client.clone(),
             address.into(),
             self.sender.clone(),
             receiver,
-            Arc::clone(&self.queued_bytes),
+            bytes,
+            self.calls.clone(),
         );
         self.runtime.spawn(task);
     }
@@ -122,12 +161,8 @@
 
     /// Sends a message, or drops it when the receiver is unknown or slow; Raft tolerates lost messages.
     pub(crate) fn send(&self, message: Message) {
-        let Some(link) = self.links.get(&message.to) else {
-            return;
-        };
-        let bytes = message.payload_bytes();
-        if link.messages.try_send(message).is_ok() {
-            self.queued_bytes.fetch_add(bytes, Ordering::Relaxed);
+        if let Some(link) = self.links.get(&message.to) {
+            link.send(message);
         }
     }
 }
@@ -137,7 +172,8 @@
     address: Box<str>,
     sender: SenderInfo,
     mut receiver: mpsc::Receiver<Message>,
-    queued_bytes: Arc<AtomicUsize>,
+    bytes: Arc<AtomicUsize>,
+    calls: ByteBudget,
 ) {
     let mut messages = Vec::new();
     while receiver.recv_many(&mut messages, MAX_BATCH_MESSAGES).await > 0 {
@@ -148,16 +184,21 @@
             format: LOG_FORMAT,
             messages: std::mem::take(&mut messages),
         };
+        let mut released = batch.payload_bytes();
+        let held = match released {
+            0..=SMALL_CALL_BYTES => None,
+            bytes => Some(calls.acquire(bytes).await),
+        };
         let sent = client
             .call::<_, BatchAccepted>(&address, RAFT_PATH, &batch, CALL_TIMEOUT)
             .await;
-        let mut released: usize = batch.messages.iter().map(Message::payload_bytes).sum();
+        drop((batch, held));
         if sent.is_err() {
             // Messages queued behind a failed call are as old; Raft sends newer ones to a peer that comes back.
             while let Ok(dropped) = receiver.try_recv() {
                 released += dropped.payload_bytes();
             }
         }
-        queued_bytes.fetch_sub(released, Ordering::Relaxed);
+        bytes.fetch_sub(released, Ordering::Relaxed);
     }
 }
--- a/crates/raft/src/config.rs
+++ b/crates/raft/src/config.rs
@@ -17,8 +17,12 @@
 const CLOCK_DRIFT_MARGIN: Duration = Duration::from_millis(100);
 /// Bytes of entries in one message; large enough to make good use of a sync, small against the 32 MB memory budget of control.
 const MAX_BATCH_BYTES: usize = 64 * 1024;
+/// Bytes of one proposal.
+const MAX_PROPOSAL_BYTES: usize = 64 * 1024;
 /// Unacknowledged appends in flight to one follower; covers a round trip of ten syncs.
 const MAX_INFLIGHT_BATCHES: usize = 8;
+/// Bytes of unacknowledged appends in flight to one follower.
+const MAX_INFLIGHT_BYTES: usize = 512 * 1024;
 /// Bytes of proposals that wait to be committed.
 const MAX_PENDING_BYTES: usize = 1024 * 1024;
 /// Number of proposals that wait to be committed.
@@ -47,10 +51,14 @@
     pub lease: Duration,
     /// Part of `lease` that the leader does not rely on, to allow for clock drift.
     pub clock_drift_margin: Duration,
-    /// Maximum bytes of entries in one message, and of one proposal.
+    /// Maximum bytes of entries in one message; a longer entry is sent alone.
     pub max_batch_bytes: usize,
+    /// Maximum bytes of one proposal.
+    pub max_proposal_bytes: usize,
     /// Maximum number of unacknowledged appends in flight to one follower.
     pub max_inflight_batches: usize,
+    /// Maximum bytes of unacknowledged appends in flight to one follower; a longer append is in flight alone.
+    pub max_inflight_bytes: usize,
     /// Maximum bytes of proposals that wait to be committed.
     pub max_pending_bytes: usize,
     /// Maximum number of proposals that wait to be committed.
@@ -77,7 +85,9 @@
             lease: LEASE,
             clock_drift_margin: CLOCK_DRIFT_MARGIN,
             max_batch_bytes: MAX_BATCH_BYTES,
+            max_proposal_bytes: MAX_PROPOSAL_BYTES,
             max_inflight_batches: MAX_INFLIGHT_BATCHES,
+            max_inflight_bytes: MAX_INFLIGHT_BYTES,
             max_pending_bytes: MAX_PENDING_BYTES,
             max_pending_proposals: MAX_PENDING_PROPOSALS,
             max_pending_reads: MAX_PENDING_READS,
@@ -112,7 +122,9 @@
         }
         let bounds = [
             self.max_batch_bytes,
+            self.max_proposal_bytes,
             self.max_inflight_batches,
+            self.max_inflight_bytes,
             self.max_pending_bytes,
             self.max_pending_proposals,
             self.max_pending_reads,
--- a/crates/raft/src/message.rs
+++ b/crates/raft/src/message.rs
@@ -1,5 +1,6 @@
 //! Messages between nodes.
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 use crate::ClusterId;
@@ -96,8 +97,7 @@
         /// Offset of this chunk in the encoded state, in bytes.
         offset: u64,
         /// The bytes of this chunk.
-        #[serde(with = "serde_bytes")]
-        data: Box<[u8]>,
+        data: Bytes,
         /// The leader's heartbeat round.
         round: u64,
     },
--- a/crates/raft/src/node.rs
+++ b/crates/raft/src/node.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
@@ -44,7 +45,7 @@
             last_index: 0,
             last_term: 0,
             membership,
-            state: Box::default(),
+            state: Bytes::new(),
         };
         Self {
             snapshot: Some(snapshot),
@@ -220,7 +221,7 @@
                     last_index,
                     last_term,
                     membership,
-                    state: Box::default(),
+                    state: Bytes::new(),
                 };
                 self.on_snapshot_chunk(from, head, total_bytes, offset, &data, round);
             }
--- a/crates/raft/src/progress.rs
+++ b/crates/raft/src/progress.rs
@@ -30,6 +30,14 @@
     },
 }
 
+/// An append that the member has not acknowledged.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct InflightBatch {
+    pub(crate) last_index: Index,
+    /// Bytes of its entries.
+    pub(crate) bytes: usize,
+}
+
 /// The replication progress of one member.
 #[derive(Debug)]
 pub(crate) struct Progress {
@@ -40,8 +48,8 @@
     pub(crate) next_index: Index,
     /// Highest commit index sent to the member, limited to the last entry that the message covered.
     pub(crate) sent_commit: Index,
-    /// Last index of each batch in flight.
-    pub(crate) inflight: VecDeque<Index>,
+    /// The batches in flight, in order.
+    pub(crate) inflight: VecDeque<InflightBatch>,
     /// When the current wait for a reply began; what is in flight is resent if it takes too long.
     pub(crate) waiting_since: Duration,
     /// Highest round that the member acknowledged; 0 means none.
@@ -77,6 +85,13 @@
         self.mode = Mode::Probe { sent: false };
     }
 
+    /// Gives up the transfer of a snapshot, so that the snapshot can be freed; a later one begins with the latest.
+    pub(crate) fn abort_snapshot(&mut self) {
+        if matches!(self.mode, Mode::Snapshot { .. }) {
+            self.probe_from(self.next_index);
+        }
+    }
+
     /// Records that the member has synced everything up to `match_index`.
     pub(crate) fn accepted(&mut self, match_index: Index, now: Duration) {
         if match_index < self.match_index {
@@ -90,7 +105,7 @@
         while self
             .inflight
             .front()
-            .is_some_and(|last| *last <= match_index)
+            .is_some_and(|batch| batch.last_index <= match_index)
         {
             self.inflight.pop_front();
         }
@@ -104,6 +119,11 @@
         }
     }
 
+    /// Returns the bytes of the batches in flight.
+    pub(crate) fn inflight_bytes(&self) -> usize {
+        self.inflight.iter().map(|batch| batch.bytes).sum()
+    }
+
     /// Records a commit index that was sent to the member.
     pub(crate) fn record_sent_commit(&mut self, commit: Index) {
         self.sent_commit = self.sent_commit.max(commit);
--- a/crates/raft/src/proposal.rs
+++ b/crates/raft/src/proposal.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
+
 use crate::error::ProposeError;
 use crate::node::{Node, State};
 use crate::output::{DropReason, ProposalDropped};
@@ -40,7 +42,7 @@
     ) -> Result<(Term, Index), ProposeError> {
         self.observe(now);
         self.check_can_propose()?;
-        let max_bytes = self.config.max_batch_bytes;
+        let max_bytes = self.config.max_proposal_bytes;
         if payload.len() > max_bytes {
             return Err(ProposeError::TooLarge { max_bytes });
         }
@@ -72,6 +74,7 @@
         kind: EntryKind,
         payload: Box<[u8]>,
     ) -> (Term, Index) {
+        let payload = Bytes::from(payload);
         let term = self.hard_state.term;
         let index = self.log.last_index() + 1;
         let payload_bytes = payload.len();
--- a/crates/raft/src/replicate.rs
+++ b/crates/raft/src/replicate.rs
@@ -2,7 +2,7 @@
 
 use crate::membership;
 use crate::node::{Node, State};
-use crate::progress::{LeaderState, Mode, Progress};
+use crate::progress::{InflightBatch, LeaderState, Mode, Progress};
 use crate::types::{Entry, EntryKind, Index, NodeId, Term};
 use crate::{AppendResult, Body};
 
@@ -43,10 +43,15 @@
         if now >= leader_state.round_began_at + self.config.heartbeat_interval {
             leader_state.round_due = true;
         }
+        let (elected_at, silent_after) = (leader_state.elected_at, self.config.election_timeout);
         for progress in leader_state.peers.values_mut() {
+            let heard_at = progress.last_reply_at.unwrap_or_default().max(elected_at);
             if now >= progress.waiting_since + resend_after {
                 progress.waiting_since = now;
                 resend(progress);
+                if now >= heard_at + silent_after {
+                    progress.abort_snapshot();
+                }
             }
         }
         self.release_reads();
@@ -103,6 +108,8 @@
     }
 
     fn send_one(&mut self, peer: NodeId) -> bool {
+        // Until a silent member answers again it gets no entries: they would be sent over and over.
+        let is_silent = self.is_silent(peer, self.config.election_timeout);
         let State::Leader(leader_state) = &mut self.state else {
             return false;
         };
@@ -114,7 +121,7 @@
         match progress.mode {
             Mode::Snapshot { .. } => return self.send_chunk(peer),
             Mode::Probe { sent: true } => return false,
-            Mode::Replicate if has_nothing_new => return false,
+            Mode::Replicate if has_nothing_new || is_silent => return false,
             Mode::Replicate if progress.inflight.len() >= self.config.max_inflight_batches => {
                 return false;
             }
@@ -124,9 +131,18 @@
         let Some(prev_term) = self.log.term_at(prev_index) else {
             return self.start_snapshot(peer);
         };
-        let entries = self
-            .log
-            .batch(progress.next_index, self.config.max_batch_bytes);
+        let entries = if is_silent {
+            Vec::new()
+        } else {
+            self.log
+                .batch(progress.next_index, self.config.max_batch_bytes)
+        };
+        let bytes = entries.iter().map(|entry| entry.payload.len()).sum();
+        let has_room = progress.inflight.is_empty()
+            || progress.inflight_bytes() + bytes <= self.config.max_inflight_bytes;
+        if !has_room {
+            return false;
+        }
         if progress.inflight.is_empty() {
             progress.waiting_since = self.now;
         }
@@ -135,7 +151,10 @@
             *sent = true;
         } else if let Some(last) = entries.last() {
             progress.next_index = last.index + 1;
-            progress.inflight.push_back(last.index);
+            progress.inflight.push_back(InflightBatch {
+                last_index: last.index,
+                bytes,
+            });
         }
         let body = Body::Append {
             prev_index,
--- a/crates/raft/src/snapshot.rs
+++ b/crates/raft/src/snapshot.rs
@@ -46,16 +46,50 @@
             last_index,
             last_term,
             membership,
-            state,
+            state: state.into(),
         };
         self.outbox
             .write_unawaited(Write::SaveSnapshot(snapshot.clone()));
         self.snapshot = Some(Arc::new(snapshot));
         self.log
             .compact(last_index, self.config.keep_entries, self.config.keep_bytes);
+        self.limit_earlier_snapshots();
         true
     }
 
+    /// Restarts the transfers of earlier snapshots with the latest one, except those of the one that is furthest along.
+    ///
+    /// Otherwise every slow member could hold a snapshot of its own in memory. The one that stays reaches its member, so
+    /// that no member is restarted for ever.
+    fn limit_earlier_snapshots(&mut self) {
+        let (State::Leader(leader_state), Some(latest)) = (&mut self.state, &self.snapshot) else {
+            return;
+        };
+        let transfers = leader_state.peers.values();
+        let furthest = transfers.filter_map(|progress| match &progress.mode {
+            Mode::Snapshot {
+                snapshot, offset, ..
+            } if !Arc::ptr_eq(snapshot, latest) => Some((*offset, snapshot.last_index)),
+            _ => None,
+        });
+        let Some((_, kept_index)) = furthest.max() else {
+            return;
+        };
+        for progress in leader_state.peers.values_mut() {
+            if let Mode::Snapshot {
+                snapshot,
+                offset,
+                sent,
+            } = &mut progress.mode
+                && snapshot.last_index != kept_index
+                && !Arc::ptr_eq(snapshot, latest)
+            {
+                *snapshot = Arc::clone(latest);
+                (*offset, *sent) = (0, false);
+            }
+        }
+    }
+
     /// Starts sending the latest snapshot to a member; returns whether a chunk was sent.
     pub(crate) fn start_snapshot(&mut self, peer: NodeId) -> bool {
         let snapshot = self
@@ -108,7 +142,7 @@
             membership: snapshot.membership.clone(),
             total_bytes: snapshot.state.len() as u64,
             offset: *offset as u64,
-            data: snapshot.state[*offset..end].into(),
+            data: snapshot.state.slice(*offset..end),
             round,
         };
         self.outbox.send(self.hard_state.term, peer, body);
@@ -154,7 +188,7 @@
             incoming.state.extend_from_slice(data);
         }
         if incoming.state.len() as u64 == total_bytes {
-            let state = incoming.state.into_boxed_slice();
+            let state = incoming.state.into();
             self.install_snapshot(Snapshot { state, ..head });
             return self.accept_snapshot(from, last_index, round);
         }
--- a/crates/raft/src/types.rs
+++ b/crates/raft/src/types.rs
@@ -1,5 +1,6 @@
 //! Types that the replicated log stores: entries, the hard state and snapshots.
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 /// An election term; terms start at 1, and 0 means "none yet".
@@ -24,7 +25,7 @@
     Membership,
 }
 
-/// An entry of the replicated log.
+/// An entry of the replicated log; a clone shares the payload.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
     /// Term of the leader that appended the entry.
@@ -34,8 +35,7 @@
     /// How the payload is interpreted.
     pub kind: EntryKind,
     /// The encoded command or membership; empty for [`EntryKind::Noop`].
-    #[serde(with = "serde_bytes")]
-    pub payload: Box<[u8]>,
+    pub payload: Bytes,
 }
 
 /// The state that a node must sync before it replies to a vote request or in a new term.
@@ -58,7 +58,7 @@
     pub learners: Vec<NodeId>,
 }
 
-/// A snapshot of the state machine as of one log entry, inclusive.
+/// A snapshot of the state machine as of one log entry, inclusive; a clone shares the state.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Snapshot {
     /// Index of the last entry included in the state.
@@ -68,6 +68,5 @@
     /// Voters and learners as of that entry.
     pub membership: Membership,
     /// Encoded state of the state machine.
-    #[serde(with = "serde_bytes")]
-    pub state: Box<[u8]>,
+    pub state: Bytes,
 }
--- a/crates/raft/tests/raft/codec.rs
+++ b/crates/raft/tests/raft/codec.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use hinge_cases::cases;
 use hinge_raft::{
     AppendResult, Body, Config, Entry, EntryKind, Membership, Message, Node, PersistentState, Role,
@@ -37,9 +38,9 @@
         let kind =
             [EntryKind::Noop, EntryKind::Command, EntryKind::Membership][rng.random_range(0..3)];
         let payload = if rng.random() {
-            encoded.into_boxed_slice()
+            Bytes::from(encoded)
         } else {
-            Box::new([0x93])
+            Bytes::from_static(&[0x93])
         };
         let term = term + rng.random_range(0..2);
         entries.push(Entry {
@@ -104,7 +105,7 @@
             membership: random_membership(rng),
             total_bytes: random_number(rng),
             offset: random_number(rng),
-            data: Box::new([1; 3]),
+            data: Bytes::from_static(&[1; 3]),
             round,
         },
         9 => Body::SnapshotReply {
--- a/crates/raft/tests/raft/memory.rs
+++ b/crates/raft/tests/raft/memory.rs
@@ -1,5 +1,6 @@
 //! Tests that the memory of a node is bounded in bytes, for any number and size of entries and any lag of a member.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use hinge_cases::cases;
@@ -33,16 +34,20 @@
     term: Term,
     now: Duration,
     applied_bytes: usize,
+    /// Bytes of entries and snapshots sent to the silent voter since the last change.
+    sent_to_silent: usize,
+    /// Chunks of snapshots that the learners have received, by learner.
+    chunks: BTreeMap<NodeId, Body>,
 }
 
 impl Leader {
-    fn elect() -> Self {
+    fn elect(learners: Vec<NodeId>) -> Self {
         let membership = Membership {
             voters: vec![1, 2, 3],
-            learners: Vec::new(),
+            learners,
         };
         let mut config = Config::new(1, 7);
-        config.max_batch_bytes = MAX_ENTRY_BYTES;
+        config.max_proposal_bytes = MAX_ENTRY_BYTES;
         config.max_pending_bytes = 2 * MAX_ENTRY_BYTES;
         let state = PersistentState::bootstrap(membership);
         let node = Node::open(config, state, Duration::ZERO, 1).expect("valid state");
@@ -51,6 +56,8 @@
             term: 1,
             now: LATER,
             applied_bytes: 0,
+            sent_to_silent: 0,
+            chunks: BTreeMap::new(),
         };
         leader.node.tick(LATER);
         leader.step(2, Body::PreVoteReply { granted: true });
@@ -58,6 +65,8 @@
         leader.step(2, Body::VoteReply { granted: true });
         leader.settle();
         assert_eq!(leader.node.role(), Role::Leader);
+        leader.reply(3, AppendResult::Accepted { match_index: 1 });
+        leader.settle();
         leader
     }
 
@@ -90,27 +99,80 @@
         }
     }
 
+    /// Answers for voter 2, and for the learners, which have nothing of the log and take one chunk of a snapshot a change.
     fn acknowledge(&mut self, output: &Output) {
-        for message in output.messages.iter().filter(|message| message.to == 2) {
-            if let Body::Append {
-                prev_index,
-                entries,
-                round,
-                ..
-            } = &message.body
-                && *round > 0
-            {
-                let match_index = prev_index + entries.len() as u64;
-                let reply = Body::AppendReply {
-                    result: AppendResult::Accepted { match_index },
-                    round: *round,
-                    complete: true,
-                };
-                self.step(2, reply);
+        for message in &output.messages {
+            match (&message.body, message.to) {
+                (_, 3) => self.sent_to_silent += message.payload_bytes(),
+                (
+                    Body::Append {
+                        prev_index,
+                        entries,
+                        round: 1..,
+                        ..
+                    },
+                    2,
+                ) => {
+                    let match_index = prev_index + entries.len() as u64;
+                    self.reply(2, AppendResult::Accepted { match_index });
+                }
+                (
+                    Body::Append {
+                        prev_index: 1..,
+                        round: 1..,
+                        ..
+                    },
+                    learner,
+                ) => {
+                    let Body::Append { prev_index, .. } = message.body else {
+                        continue;
+                    };
+                    let result = AppendResult::Rejected {
+                        prev_index,
+                        hint_index: 0,
+                        hint_term: 0,
+                    };
+                    self.reply(learner, result);
+                }
+                (Body::SnapshotChunk { .. }, learner) => {
+                    self.chunks.insert(learner, message.body.clone());
+                }
+                _ => {}
             }
         }
     }
 
+    fn reply(&mut self, from: NodeId, result: AppendResult) {
+        let body = Body::AppendReply {
+            result,
+            round: 1,
+            complete: true,
+        };
+        self.step(from, body);
+    }
+
+    /// Lets one learner take the chunk that it has received last.
+    fn take_chunk(&mut self, learner: NodeId) {
+        let Some(Body::SnapshotChunk {
+            last_index,
+            offset,
+            data,
+            round,
+            ..
+        }) = self.chunks.remove(&learner)
+        else {
+            return;
+        };
+        let body = Body::SnapshotReply {
+            last_index,
+            next_offset: offset + data.len() as u64,
+            round,
+            complete: false,
+        };
+        self.step(learner, body);
+        self.settle();
+    }
+
     fn commit(&mut self, bytes: usize) {
         self.now += Duration::from_millis(20);
         self.node.tick(self.now);
@@ -143,7 +205,7 @@
 }
 
 fn stays_within_budget(load: Load) {
-    let mut leader = Leader::elect();
+    let mut leader = Leader::elect(Vec::new());
     for change in 0..load.changes {
         leader.commit(load.change_bytes);
         leader.take_snapshot_if_due(load.state_bytes);
@@ -175,3 +237,34 @@
         state_bytes: MAX_ENTRY_BYTES,
     },
 }
+
+cases! {
+    // Guards against a leader that sends a whole configuration again and again to a member that is gone.
+    a_silent_member_gets_no_entries_again_and_again => {
+        let mut leader = Leader::elect(Vec::new());
+        leader.commit(700_000);
+        for _ in 0..200 {
+            leader.commit(1_000);
+        }
+        leader.sent_to_silent = 0;
+        for _ in 0..500 {
+            leader.commit(1_000);
+        }
+        assert_eq!(leader.sent_to_silent, 0);
+    }
+
+    // Guards against a leader that keeps a snapshot in memory for each slow member.
+    slow_members_hold_one_earlier_snapshot_together => {
+        let learners: Vec<NodeId> = (4..12).collect();
+        let mut leader = Leader::elect(learners.clone());
+        let state_bytes = 700_000;
+        let mut most = 0;
+        for change in 0..200 {
+            leader.commit(300_000);
+            leader.take_snapshot_if_due(state_bytes);
+            leader.take_chunk(learners[change % learners.len()]);
+            most = most.max(leader.node.held_bytes().earlier_snapshots);
+        }
+        assert_eq!(most, state_bytes);
+    }
+}
--- a/crates/raft/tests/raft/simulation/invariants.rs
+++ b/crates/raft/tests/raft/simulation/invariants.rs
@@ -40,8 +40,8 @@
         }) = &output.install
         {
             assert_eq!(
-                *state,
-                self.state_at(*last_index),
+                **state,
+                *self.state_at(*last_index),
                 "the snapshot's state differs from the committed entries"
             );
             self.hosts.get_mut(&id).expect("the host exists").applied = *last_index;
--- a/crates/raft/tests/raft/single_node.rs
+++ b/crates/raft/tests/raft/single_node.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use hinge_cases::cases;
 use hinge_raft::{
     AppendResult, Body, Config, ConfigError, Entry, EntryKind, HardState, Membership, Message,
@@ -17,7 +18,7 @@
         term,
         index,
         kind: EntryKind::Command,
-        payload: Box::new([1]),
+        payload: Bytes::from_static(&[1]),
     }
 }
 
@@ -84,7 +85,7 @@
 }
 
 fn chunk(last_index: u64, offset: u64, total_bytes: u64) -> Message {
-    let (membership, data) = (membership(), Box::new([9]));
+    let (membership, data) = (membership(), Bytes::from_static(&[9]));
     message(
         2,
         3,
@@ -302,7 +303,7 @@
 
     proposals_and_reads_are_bounded_and_refused_with_a_reason => {
         let mut config = Config::new(1, 7);
-        (config.max_pending_bytes, config.max_batch_bytes, config.max_pending_reads) = (10, 8, 1);
+        (config.max_pending_bytes, config.max_proposal_bytes, config.max_pending_reads) = (10, 8, 1);
         let mut node = Node::open(config, persistent_state(0, Vec::new()), Duration::ZERO, 1).expect("valid state");
         assert_eq!(node.propose(LATER, Box::default()), Err(ProposeError::NotLeader { leader: None }));
         assert_eq!(node.read(LATER, 1), Err(ReadError::NotLeader { leader: None }));
@@ -323,7 +324,7 @@
     a_single_voter_is_elected_by_its_own_synced_vote => {
         let snapshot = Snapshot {
             last_index: 0, last_term: 0, membership: Membership { voters: vec![1], learners: vec![] },
-            state: Box::default(),
+            state: Bytes::new(),
         };
         let stored = PersistentState { snapshot: Some(snapshot), ..persistent_state(0, Vec::new()) };
         let mut node = Node::open(Config::new(1, 7), stored, Duration::ZERO, 1).expect("valid state");
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -23,7 +23,7 @@
 //!     term: 1,
 //!     index: 1,
 //!     kind: EntryKind::Noop,
-//!     payload: Box::default(),
+//!     payload: Default::default(),
 //! };
 //! let hard_state = HardState {
 //!     term: 1,
