--- a/crates/gateway/src/gateway/tests.rs
+++ b/crates/gateway/src/gateway/tests.rs
@@ -3,6 +3,8 @@
 //! All tasks share one thread and the clients' calls block, so no task of the gateway runs between two steps of a case that
 //! has no `await` between them.
 
+mod held_tables;
+
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex, OnceLock};
--- a/crates/gateway/src/history.rs
+++ b/crates/gateway/src/history.rs
@@ -186,9 +186,9 @@
             expected_ms = self
                 .expected
                 .map_or(0, |expected| expected.ends_in.as_millis()),
-            table = job.snapshot.table_number(),
+            table = job.table_number,
             table_age_ms = job.gateway.routing.age().as_millis(),
-            list = job.snapshot.endpoints_version(),
+            list = job.endpoints_version,
             first_ms = self.first_chunk.map_or(0, |time| time.as_millis()),
             ms = job.arrived.elapsed().as_millis()
         );
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -21,7 +21,6 @@
 use crate::history::History;
 use crate::overload::RunningRequest;
 use crate::refusal::Refusal;
-use crate::routing_state::RoutingSnapshot;
 use crate::serve::Origin;
 use crate::suspects::Verdict;
 use crate::team_usage::TeamUsage;
@@ -59,7 +58,11 @@
 #[derive(Debug)]
 pub(crate) struct Job {
     pub(crate) gateway: Arc<Shared>,
-    pub(crate) snapshot: Arc<RoutingSnapshot>,
+    /// Number of the route table and version of the endpoint list in force when the request arrived.
+    ///
+    /// A job holds no table: streams last for seconds, and the configuration may change many times meanwhile.
+    pub(crate) table_number: u64,
+    pub(crate) endpoints_version: u64,
     pub(crate) route: Route,
     pub(crate) service: Box<str>,
     pub(crate) outgoing: OutgoingRequest,
@@ -71,6 +74,8 @@
     pub(crate) origin_lookup: Duration,
     /// Description of the service's model engines, if its endpoints are engines.
     pub(crate) engine: Option<Engine>,
+    /// Limits of the service's endpoints while they warm up, if there are any.
+    pub(crate) warm_up: Option<WarmUp>,
     pub(crate) rank: u32,
     pub(crate) homes: Homes,
     pub(crate) origin: Origin,
@@ -327,7 +332,8 @@
     }
 
     fn team_usage(&self) -> Arc<TeamUsage> {
-        let listed = self.snapshot.of_service(&self.service);
+        let snapshot = self.gateway.routing.current();
+        let listed = snapshot.of_service(&self.service);
         self.gateway.team_usage(&self.service, listed)
     }
 
@@ -339,7 +345,8 @@
         if self.engine.is_none() {
             return AskOutcome::Unasked;
         }
-        let engines = self.snapshot.of_service(&self.service).len();
+        let engines = self.gateway.routing.current();
+        let engines = engines.of_service(&self.service).len();
         admission.follow(endpoint, engines, &self.gateway.data_center);
         endpoint.record_ask(prompt.unshared_tokens());
         let (shared_key, shared_tokens) = prompt.shared_key().unwrap_or_default();
@@ -356,7 +363,7 @@
             shared_tokens,
             budget_ms: millis(budget),
             elsewhere_tokens: self.used_elsewhere(endpoint),
-            warm_up: self.warm_up_limits().map(|limits| AskWarmUp {
+            warm_up: self.warm_up.as_ref().map(|limits| AskWarmUp {
                 limits: limits.clone(),
                 left_ms: millis(endpoint.warm_up_left()),
             }),
@@ -384,7 +391,7 @@
         if endpoint.warm_up_left().is_zero() {
             return true;
         }
-        let Some(limits) = self.warm_up_limits() else {
+        let Some(limits) = self.warm_up.as_ref() else {
             return true;
         };
         let limits = WarmUpLimits {
@@ -395,12 +402,6 @@
             && endpoint.try_warm_up_share(limits, self.gateway.gateway_count.current())
     }
 
-    /// Returns the limits of the service's endpoints while they warm up.
-    fn warm_up_limits(&self) -> Option<&WarmUp> {
-        let service = self.snapshot.lookup.as_ref()?.service(&self.service)?;
-        service.warm_up.as_ref()
-    }
-
     /// Returns the rank of an ask, and the time within which the answer must begin.
     ///
     /// When an endpoint ends under load, all of its streams look for other endpoints at once, where the queues are already full.
--- a/crates/gateway/src/resumption.rs
+++ b/crates/gateway/src/resumption.rs
@@ -8,14 +8,12 @@
 
 use crate::dialect::RequestFacts;
 use crate::gateway::Shared;
-use crate::routing_state::RoutingSnapshot;
 use crate::stream_directory::Lookup;
 use crate::takeover::MAX_STATE_AGE;
 
 /// Returns where the stream began, `None` for a request that begins a new one, or why the stream can't continue.
 pub(crate) async fn origin_of(
     gateway: &Shared,
-    snapshot: &RoutingSnapshot,
     route: &Route,
     facts: &RequestFacts,
     team: Option<&str>,
@@ -31,7 +29,7 @@
             Lookup::Ambiguous => (Err("the stream's id was used twice"), "ambiguous"),
             Lookup::Unknown => (Err("the stream's origin is not known"), "unknown"),
         },
-        None => match only_origin(gateway, snapshot, route) {
+        None => match only_origin(gateway, route) {
             Some(origin) => (Ok(origin), "only_version"),
             None => (Err("the stream is not named"), "unnamed"),
         },
@@ -50,14 +48,11 @@
 ///
 /// It is only while the route has one service and that service has had one software version for as long as a stream lasts,
 /// according to a list that control has just confirmed.
-fn only_origin(
-    gateway: &Shared,
-    snapshot: &RoutingSnapshot,
-    route: &Route,
-) -> Option<Arc<StreamOrigin>> {
+fn only_origin(gateway: &Shared, route: &Route) -> Option<Arc<StreamOrigin>> {
     let [target] = route.targets.as_slice() else {
         return None;
     };
+    let snapshot = gateway.routing.current();
     let (version, held_for) = snapshot.only_version(&target.service)?;
     let longest = Duration::from_millis(route.timeout_ms);
     let is_certain = held_for >= longest && gateway.routing.age() <= MAX_STATE_AGE;
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use hinge_routing::{Homes, Overloaded, RequestKey, RouteIndex, StreamOrigin};
-use hinge_schema::routing::{Engine, RequestKind, Route};
+use hinge_schema::routing::{Engine, RequestKind, Route, WarmUp};
 use hinge_telemetry::info;
 use hinge_telemetry::log::Component;
 use http::header::{CONNECTION, CONTENT_TYPE, HOST};
@@ -75,25 +75,31 @@
         return decline.response();
     }
     let matched = look_up(&snapshot, &parts, &facts);
+    let table_number = snapshot.table_number();
+    let endpoints_version = snapshot.endpoints_version();
+    // The body may take as long as the request, and tables of before must not stay in memory for it.
+    drop(snapshot);
     let Match {
         route,
         service,
         team,
         rank,
         engine,
+        warm_up,
         homes,
+        max_body_bytes,
     } = match matched {
         Ok(matched) => matched,
-        Err(refusal) => return refuse_early(&gateway, &snapshot, &facts, &parts, refusal),
+        Err(refusal) => return refuse_early(&gateway, table_number, &facts, &parts, refusal),
     };
     let timeout = Duration::from_millis(route.timeout_ms);
     let ends_at = arrived
         + facts
             .deadline
             .map_or(timeout, |deadline| deadline.min(timeout));
-    let body = match read_body(&snapshot, body, ends_at).await {
+    let body = match read_body(max_body_bytes, body, ends_at).await {
         Ok(body) => body,
-        Err(refusal) => return refuse_early(&gateway, &snapshot, &facts, &parts, refusal),
+        Err(refusal) => return refuse_early(&gateway, table_number, &facts, &parts, refusal),
     };
     let mut outgoing = OutgoingRequest {
         may_rerun: may_run_again(&route),
@@ -127,27 +133,29 @@
         Err(overloaded) => {
             // The others are in this data centre, and only the gateway that the caller reached may be outside of the homes.
             let may_hand_off = homes.allow(&gateway.data_centers, &gateway.data_center);
-            let table = may_hand_off.then(|| snapshot.table_number());
+            let table = may_hand_off.then_some(table_number);
             return without_room(&gateway, table, &outgoing, &facts, overloaded).await;
         }
     };
     let found_at = Instant::now();
-    let found = origin_of(&gateway, &snapshot, &route, &facts, team).await;
+    let found = origin_of(&gateway, &route, &facts, team).await;
     let origin_lookup = found_at.elapsed();
     let stream_origin = found.as_ref().ok().and_then(Option::as_ref);
     let service = stream_origin.map_or(service, |origin| origin.service.clone());
-    let engine = match stream_origin {
-        Some(_) => engine_of(&snapshot, &service),
-        None => engine,
+    let (engine, warm_up) = match stream_origin {
+        Some(_) => properties_of(&gateway.routing.current(), &service),
+        None => (engine, warm_up),
     };
     let job = Arc::new(Job {
         outgoing,
         gateway,
-        snapshot,
+        table_number,
+        endpoints_version,
         route,
         service,
         prompt: facts.prompt,
         engine,
+        warm_up,
         rank,
         homes,
         origin,
@@ -248,7 +256,10 @@
     rank: u32,
     /// Model engines of the service, if it has any.
     engine: Option<Engine>,
+    /// Limits of its endpoints while they warm up, if there are any.
+    warm_up: Option<WarmUp>,
     homes: Homes,
+    max_body_bytes: u64,
 }
 
 /// Looks up the route, the service and the team of a request.
@@ -270,13 +281,16 @@
         Some(team)
     };
     let target = RouteIndex::pick_target(route, rand::random()).ok_or(Refusal::NoRoute)?;
+    let (engine, warm_up) = properties_of(snapshot, &target.service);
     Ok(Match {
         service: target.service.clone(),
         team: team.map(|team| team.name.clone()),
         rank: team
             .and_then(|team| team.priority)
             .unwrap_or(route.priority),
-        engine: engine_of(snapshot, &target.service),
+        engine,
+        warm_up,
+        max_body_bytes: lookup.table().limits.max_body_bytes,
         homes: Homes::of(
             &route.allowed_regions,
             team.map_or(&[], |team| &team.allowed_regions),
@@ -285,10 +299,13 @@
     })
 }
 
-/// Returns the description of a service's model engines, if it has any.
-fn engine_of(snapshot: &RoutingSnapshot, service: &str) -> Option<Engine> {
-    let service = snapshot.lookup.as_ref()?.service(service)?;
-    service.engine.clone()
+/// Returns the description of a service's model engines and the limits of their warm-up, if it has any.
+fn properties_of(snapshot: &RoutingSnapshot, service: &str) -> (Option<Engine>, Option<WarmUp>) {
+    let lookup = snapshot.lookup.as_ref();
+    let service = lookup.and_then(|lookup| lookup.service(service));
+    service.map_or((None, None), |service| {
+        (service.engine.clone(), service.warm_up.clone())
+    })
 }
 
 fn host_of(parts: &Parts) -> Option<&str> {
@@ -299,14 +316,8 @@
     Some(host.split(':').next().unwrap_or(host))
 }
 
-async fn read_body(
-    snapshot: &RoutingSnapshot,
-    body: Incoming,
-    ends_at: Instant,
-) -> Result<Bytes, Refusal> {
-    let lookup = snapshot.lookup.as_ref().ok_or(Refusal::NoTable)?;
-    let limit = lookup.table().limits.max_body_bytes;
-    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+async fn read_body(max_bytes: u64, body: Incoming, ends_at: Instant) -> Result<Bytes, Refusal> {
+    let limit = usize::try_from(max_bytes).unwrap_or(usize::MAX);
     let whole = timeout_at(ends_at, Limited::new(body, limit).collect()).await;
     match whole {
         Ok(Ok(whole)) => Ok(whole.to_bytes()),
@@ -355,7 +366,7 @@
 
 fn refuse_early(
     gateway: &Shared,
-    snapshot: &RoutingSnapshot,
+    table_number: u64,
     facts: &RequestFacts,
     parts: &Parts,
     refusal: Refusal,
@@ -370,7 +381,7 @@
         outcome = refusal.name(),
         status = status,
         path = parts.uri.path(),
-        table = snapshot.table_number(),
+        table = table_number,
         table_age_ms = gateway.routing.age().as_millis()
     );
     refusal.response()
