Control and gateways: a changed route table travels as a patch

Every one of these copies was held in memory until it was sent, one for each watching gateway.

Cause: a change was always the whole table, with the operator's document, in four places: forwarded call, log entry, append to each member, answer to each watch.

Change: hinge-routing compares two tables and returns runs of items that are kept and the items between them, for the document by pieces that end where objects end. The call to the leader, the entry (Command::PatchTable, from format 2 of the log, which is raised when every member knows it) and the answers to gateways carry the patch; the whole table follows where the patch would not be shorter or its base is not known. A read at a follower asks the leader for the number only. Whole tables for gateways wait while 8 MiB of calls and answers are unsent.

A table's number identifies its contents, and a patch names the number that it is based on; the leader takes the newest table of its own term's log, or the applied one once its term is opened, so the base of an entry is always in the log before it.

Tests: any two tables differ by a patch that leads to exactly the later one (2,000 random pairs); one changed value of 1,800 routes costs at most 4 KiB; tests/roles/tables.rs fails where tables are sent whole (1,138,938 bytes a change between three instances, for a document of 129,205) and allows a tenth of the document. the_format_waits_for_members_of_an_earlier_version names the format by its constant now, as 1 is an earlier one.

--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -6,6 +6,7 @@
 mod diskless;
 mod format;
 mod joining;
+mod tables;
 #[cfg(test)]
 mod tests;
 mod thread;
@@ -20,6 +21,7 @@
 
 use arc_swap::ArcSwap;
 use hinge_raft::{Config, Membership, Node, NodeId, Status, Term};
+use hinge_routing::RecentPatches;
 use hinge_schema::messages::{
     DrainRecord, JoinControl, JoinedControl, OrderRecord, RemovedControl,
 };
@@ -152,6 +154,8 @@
     /// Incarnations of control instances that are or were members.
     pub(crate) known_incarnations: BTreeSet<NodeId>,
     pub(crate) routing: Routing,
+    /// The last patches that led to the route table.
+    pub(crate) patches: RecentPatches,
     /// Format of the log.
     pub(crate) format: u32,
     /// Addresses of the control instances that are recorded in the log.
@@ -261,6 +265,8 @@
             lease_until_us: Arc::clone(&lease_until_us),
             last_round_us: Arc::clone(&last_round_us),
             commits: Arc::clone(&commits),
+            proposed_table: None,
+            recent_patches: RecentPatches::default(),
             live_tables: LiveTables::default(),
             held_bytes: Arc::clone(&held_bytes),
         };
@@ -373,6 +379,7 @@
         open_orders: state.orders().open().cloned().collect(),
         known_incarnations: state.control().keys().chain(seen_peers).copied().collect(),
         routing: state.routing().clone(),
+        patches: RecentPatches::default(),
         format: state.format(),
         control_addresses: state
             .control()
--- a/crates/control/src/driver/tests.rs
+++ b/crates/control/src/driver/tests.rs
@@ -8,6 +8,7 @@
 
 use hinge_cases::cases;
 use hinge_raft::{AppendResult, Body, Config, Membership, Message, Node, PersistentState};
+use hinge_state::LOG_FORMAT;
 
 use super::format::knows_format;
 use super::thread::{lease_until_us, take_output_and_send};
@@ -63,7 +64,8 @@
 cases! {
     // Guards against a quorum of an earlier version that stops at an entry which it doesn't know.
     the_format_waits_for_members_of_an_earlier_version => {
-        assert!(knows_format(Some(1), false));
+        assert!(knows_format(Some(LOG_FORMAT), false));
+        assert!(!knows_format(Some(LOG_FORMAT - 1), false));
         assert!(!knows_format(Some(0), false));
         assert!(!knows_format(Some(0), true), "it may come back with the earlier version");
         assert!(!knows_format(None, false));
--- a/crates/control/src/driver/thread.rs
+++ b/crates/control/src/driver/thread.rs
@@ -10,6 +10,8 @@
 use hinge_raft::{
     DropReason, EntryKind, Index, Membership, Message, Node, NodeId, Output, ReadId, Role, Term,
 };
+use hinge_routing::RecentPatches;
+use hinge_schema::routing::RouteTable;
 use hinge_state::{Command, ControlName, Reply, State};
 use hinge_telemetry::log::Component;
 use hinge_telemetry::{error, info, warn};
@@ -65,6 +67,9 @@
     pub(super) lease_until_us: Arc<AtomicU64>,
     pub(super) last_round_us: Arc<AtomicU64>,
     pub(super) commits: Arc<AtomicU64>,
+    /// The newest table that this leader has proposed and not applied, with the term.
+    pub(super) proposed_table: Option<(Term, Arc<RouteTable>)>,
+    pub(super) recent_patches: RecentPatches,
     pub(super) live_tables: LiveTables,
     pub(super) held_bytes: Arc<ArcSwap<ThreadBytes>>,
 }
@@ -129,7 +134,7 @@
         let now = self.now();
         match input {
             Input::Batch(batch) => self.step(now, batch),
-            Input::Propose(command, reply) => self.propose(now, &command, reply),
+            Input::Propose(command, reply) => self.propose(now, command, reply),
             Input::Read(callback) => {
                 let read_id = self.next_read_id;
                 self.next_read_id += 1;
@@ -164,17 +169,29 @@
         }
     }
 
-    fn propose(&mut self, now: Duration, command: &Command, reply: ReplySender) {
+    fn propose(&mut self, now: Duration, command: Command, reply: ReplySender) {
         if self.node.role() == Role::Leader && !self.can_acknowledge() {
             let _receiver_is_gone = reply.send(Err(LogError::FoundingIncomplete));
             return;
         }
-        if self.changes_nothing(command) {
+        if self.changes_nothing(&command) {
             let _receiver_is_gone = reply.send(Ok(Reply::Done));
             return;
         }
-        match self.node.propose(now, command.encode()) {
-            Ok(position) => _ = self.pending_proposals.insert(position, reply),
+        let (payload, table) = match command {
+            Command::PutTable(table) => {
+                let (payload, table) = self.encode_table(table);
+                (payload, Some(table))
+            }
+            command => (command.encode(), None),
+        };
+        match self.node.propose(now, payload) {
+            Ok(position) => {
+                self.pending_proposals.insert(position, reply);
+                if let Some(table) = table {
+                    self.record_proposed_table(table);
+                }
+            }
             Err(cause) => {
                 let _receiver_is_gone = reply.send(Err(log_error_from(cause)));
             }
@@ -250,6 +267,7 @@
             self.applied_index = snapshot.last_index;
             self.snapshot_index = snapshot.last_index;
             self.log_bytes = 0;
+            self.recent_patches.clear();
             self.is_view_stale = true;
         }
         for entry in output.committed {
@@ -310,7 +328,13 @@
             self.opened_term = entry.term;
         }
         self.commits.fetch_add(1, Ordering::Relaxed);
+        let patch = match &command {
+            Command::PatchTable(patch) => Some(patch.clone()),
+            _ => None,
+        };
+        let table_before = self.state.routing().table_number();
         let reply = self.state.apply(entry.index, entry.term, command);
+        self.record_applied_table(table_before, patch.as_deref());
         if let Some(waiting) = self.pending_proposals.remove(&(entry.term, entry.index)) {
             // A voter found to have no disk in the meantime may have counted towards this commit.
             let reply = if self.can_acknowledge() {
@@ -379,7 +403,10 @@
             if let Some(table) = self.state.routing().table() {
                 self.live_tables.record(Arc::downgrade(table));
             }
-            let view = view_of(&self.state, &self.seen_peers, peer_addresses);
+            let view = View {
+                patches: self.recent_patches.clone(),
+                ..view_of(&self.state, &self.seen_peers, peer_addresses)
+            };
             self.view.store(Arc::new(view));
             has_changes = true;
         }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -34,6 +34,7 @@
 mod settings;
 mod soft_state;
 mod suspect_calls;
+mod table_calls;
 mod upgrade;
 
 pub use control::{Control, StopOutcome};
--- a/crates/control/src/peer_client.rs
+++ b/crates/control/src/peer_client.rs
@@ -41,6 +41,11 @@
         }
     }
 
+    /// Returns the bytes of this process's calls and answers that are encoded and not yet written to their sockets.
+    pub(crate) fn unsent_bytes(&self) -> u64 {
+        self.client.traffic().unsent_bytes()
+    }
+
     pub(crate) async fn call<Q, A>(
         &self,
         address: &str,
--- a/crates/control/src/routing_calls.rs
+++ b/crates/control/src/routing_calls.rs
@@ -8,28 +8,26 @@
 use std::time::Duration;
 
 use hinge_link::ClusterKey;
-use hinge_routing::{TableError, check_homes, has_homes};
+use hinge_routing::{TableError, check_homes};
 use hinge_schema::routing::{
-    AskTable, CurrentTable, Endpoint, EndpointList, EndpointReply, EvacuationList, MeetGateways,
-    NearbyGateways, PutTable, PutTableReply, ReportEndpoint, RetireEndpoint, RouteTable,
-    RoutesUpdate, SuspectList, WatchRoutes,
+    Endpoint, EndpointList, EndpointReply, EvacuationList, MeetGateways, NearbyGateways,
+    ReportEndpoint, RetireEndpoint, RouteTable, RoutesUpdate, SuspectList, TablePatch, WatchRoutes,
 };
-use hinge_state::{Command, EndpointCommand, Incarnation, Reply, Routing};
+use hinge_state::{Command, EndpointCommand, Incarnation, Routing};
 use hinge_telemetry::log::Component;
 use hinge_telemetry::{info, warn};
 use http::StatusCode;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 use viz::Router;
 
 use crate::core::{Core, Leadership};
 use crate::driver::View;
 use crate::peer_calls::{add_leader_call, answer_or_forward};
 use crate::route::{self, StateCell};
+use crate::table_calls;
 
 const UNAVAILABLE: StatusCode = StatusCode::SERVICE_UNAVAILABLE;
 
-const PUT_TABLE: &str = "/routes/put";
-const ASK_TABLE: &str = "/routes/ask";
 const REPORT: &str = "/endpoints/report";
 const RETIRE: &str = "/endpoints/retire";
 
@@ -40,8 +38,11 @@
 /// Format of the log from which it holds repeated warm-ups of an endpoint.
 const MIN_REPEATED_WARM_UP_FORMAT: u32 = 1;
 
-/// Format of the log from which every member keeps the homes of routes and teams.
-const MIN_HOMES_FORMAT: u32 = 1;
+/// Bytes of unsent calls and answers above which no whole table is encoded for another gateway.
+const MAX_UNSENT_BYTES: u64 = 8 << 20;
+
+/// Interval at which an answer with a whole table checks whether there is room for it.
+const ROOM_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Path on which a gateway learns the addresses of others in its data centre.
 pub const MEET_GATEWAYS_PATH: &str = "/v1/gateways/meet";
@@ -113,11 +114,10 @@
     pub async fn put_table(&self, table: RouteTable) -> Result<u64, PutTableError> {
         let core = self.core().map_err(PutTableError::Unavailable)?;
         check_homes(&table, &core.settings.data_centers).map_err(PutTableError::Invalid)?;
-        let message = PutTable { table };
-        let answered = answer_or_forward(core, PUT_TABLE, message, put_as_leader).await;
         let unavailable = |status| PutTableError::Unavailable(unavailable(status));
-        let held: PutTableReply = answered.map_err(unavailable)?;
-        Ok(held.number)
+        table_calls::put_table(core, table)
+            .await
+            .map_err(unavailable)
     }
 
     /// Returns the table in force, as a linearizable read.
@@ -125,10 +125,9 @@
     /// # Errors
     ///
     /// Returns an error when no instance can confirm the current table.
-    pub async fn table(&self) -> Result<Option<RouteTable>, RoutingUnavailable> {
-        let answered = answer_or_forward(self.core()?, ASK_TABLE, AskTable {}, ask_as_leader).await;
-        let current: CurrentTable = answered.map_err(unavailable)?;
-        Ok(current.table)
+    pub async fn table(&self) -> Result<Option<Arc<RouteTable>>, RoutingUnavailable> {
+        let in_force = table_calls::table_in_force(&self.core()?).await;
+        Ok(in_force.map_err(unavailable)?.table)
     }
 
     /// Applies an endpoint's report, and returns the outcome.
@@ -195,64 +194,9 @@
 pub(crate) fn add(router: Router, key: &ClusterKey, core: &StateCell<Core>) -> Router {
     let router = route::peer(router, WATCH_ROUTES_PATH, key, core, watch);
     let router = route::peer(router, MEET_GATEWAYS_PATH, key, core, meet);
-    let router = add_leader_call(router, PUT_TABLE, key, core, put, put_as_leader);
-    let router = add_leader_call(router, ASK_TABLE, key, core, current_table, ask_as_leader);
     let router = add_leader_call(router, REPORT, key, core, report, report_as_leader);
-    add_leader_call(router, RETIRE, key, core, retire, retire_as_leader)
-}
-
-async fn put(core: Arc<Core>, message: PutTable) -> Result<PutTableReply, StatusCode> {
-    answer_or_forward(core, PUT_TABLE, message, put_as_leader).await
-}
-
-async fn put_as_leader(core: Arc<Core>, message: PutTable) -> Result<PutTableReply, StatusCode> {
-    let asked = message.table.number;
-    if has_homes(&message.table) && core.driver.view.load().format < MIN_HOMES_FORMAT {
-        info!(
-            Component::Control,
-            "Could not take a route table: an instance of an earlier version would drop its homes.",
-            number = asked
-        );
-        return Err(UNAVAILABLE);
-    }
-    let command = Command::PutTable(Box::new(message.table));
-    match core.propose(command).await {
-        Ok(Reply::TableNumber(number)) => {
-            info!(
-                Component::Control,
-                "Took a route table.",
-                number = asked,
-                in_force = number
-            );
-            Ok(PutTableReply { number })
-        }
-        Ok(_other) => Err(StatusCode::INTERNAL_SERVER_ERROR),
-        Err(refused) => {
-            info!(
-                Component::Control,
-                "Could not take a route table.",
-                number = asked,
-                cause = refused
-            );
-            Err(UNAVAILABLE)
-        }
-    }
-}
-
-async fn current_table(core: Arc<Core>, message: AskTable) -> Result<CurrentTable, StatusCode> {
-    answer_or_forward(core, ASK_TABLE, message, ask_as_leader).await
-}
-
-async fn ask_as_leader(core: Arc<Core>, _message: AskTable) -> Result<CurrentTable, StatusCode> {
-    let asked = core.read(|state, _status| {
-        let routing = state.routing();
-        (routing.table().cloned(), routing.evacuations().list())
-    });
-    let (table, evacuations) = asked.await.map_err(|_refused| UNAVAILABLE)?;
-    Ok(CurrentTable {
-        table: table.map(Arc::unwrap_or_clone),
-        evacuations: Some(evacuations),
-    })
+    let router = add_leader_call(router, RETIRE, key, core, retire, retire_as_leader);
+    table_calls::add(router, key, core)
 }
 
 async fn report(core: Arc<Core>, message: ReportEndpoint) -> Result<EndpointReply, StatusCode> {
@@ -374,7 +318,7 @@
         watchers.note(now, &message.instance, address);
     }
     if message.table_number == 0 {
-        return first_table(core, &message).await;
+        return first_table(core, &message, deadline).await;
     }
     let mut published = core.published.subscribe();
     loop {
@@ -382,8 +326,12 @@
         if core.leadership() == Leadership::Unknown {
             return Err(UNAVAILABLE);
         }
+        if sends_whole_table(&core.driver.view.load(), &message) {
+            wait_for_room(&core, deadline).await?;
+        }
         let update = update(&core, &message);
         let has_changes = update.table.is_some()
+            || !update.table_patches.is_empty()
             || update.endpoints.is_some()
             || update.suspects.is_some()
             || update.evacuations.is_some();
@@ -427,11 +375,17 @@
 ///
 /// The locally applied state may lag right after a restart, and a gateway must not start with a table that has been
 /// replaced.
-async fn first_table(core: Arc<Core>, message: &WatchRoutes) -> Result<RoutesUpdate, StatusCode> {
-    let current = current_table(Arc::clone(&core), AskTable {}).await?;
+async fn first_table(
+    core: Arc<Core>,
+    message: &WatchRoutes,
+    deadline: Instant,
+) -> Result<RoutesUpdate, StatusCode> {
+    let current = table_calls::table_in_force(&core).await?;
+    wait_for_room(&core, deadline).await?;
     let view = core.driver.view.load();
     Ok(RoutesUpdate {
         table: current.table.map(|table| without_document(&table)),
+        table_patches: Vec::new(),
         endpoints: Some(endpoint_list(&core, &view.routing)),
         suspects: newer_suspects(&view.routing, message),
         evacuations: current.evacuations,
@@ -451,11 +405,13 @@
 fn update(core: &Core, message: &WatchRoutes) -> RoutesUpdate {
     let view = core.driver.view.load();
     let routing = &view.routing;
-    let is_table_newer = routing.table_number() > message.table_number;
-    let table = routing.table().filter(|_| is_table_newer);
+    let newer = newer_table(routing, message);
+    let table_patches = newer.and_then(|_| recent_patches(&view, message));
+    let table = newer.filter(|_| table_patches.is_none());
     let are_endpoints_newer = routing.endpoints_version() > message.endpoints_version;
     RoutesUpdate {
         table: table.map(|table| without_document(table)),
+        table_patches: table_patches.unwrap_or_default(),
         endpoints: are_endpoints_newer.then(|| endpoint_list(core, routing)),
         suspects: newer_suspects(routing, message),
         evacuations: newer_evacuations(routing, message),
@@ -464,6 +420,35 @@
     }
 }
 
+/// Returns the table in force if it is newer than the caller's.
+fn newer_table<'a>(routing: &'a Routing, message: &WatchRoutes) -> Option<&'a Arc<RouteTable>> {
+    let is_newer = routing.table_number() > message.table_number;
+    routing.table().filter(|_| is_newer)
+}
+
+/// Returns the patches that lead from the caller's table to the one in force, if the caller and this instance know them.
+fn recent_patches(view: &View, message: &WatchRoutes) -> Option<Vec<TablePatch>> {
+    // Versions that don't know patches send no flag.
+    let accepts_patches = message.accepts_patches.unwrap_or(false);
+    let table = view.routing.table().filter(|_| accepts_patches)?;
+    view.patches.since(message.table_number, table)
+}
+
+fn sends_whole_table(view: &View, message: &WatchRoutes) -> bool {
+    newer_table(&view.routing, message).is_some() && recent_patches(view, message).is_none()
+}
+
+/// Waits until few enough bytes of earlier answers are unsent, so that many gateways can't exhaust the memory together.
+async fn wait_for_room(core: &Core, deadline: Instant) -> Result<(), StatusCode> {
+    while core.client.unsent_bytes() > MAX_UNSENT_BYTES {
+        if Instant::now() >= deadline {
+            return Err(UNAVAILABLE);
+        }
+        sleep(ROOM_POLL_INTERVAL).await;
+    }
+    Ok(())
+}
+
 /// Returns the list of endpoints, with the warm-up times that are left now.
 fn endpoint_list(core: &Core, routing: &Routing) -> EndpointList {
     let now = core.now();
--- a/crates/control/tests/roles/evacuations.rs
+++ b/crates/control/tests/roles/evacuations.rs
@@ -61,6 +61,7 @@
         endpoints_version: u64::MAX,
         suspects_version: None,
         evacuations_version: Some(0),
+        accepts_patches: None,
         wait_ms: 100,
     };
     loop {
--- a/crates/control/tests/roles/fleet.rs
+++ b/crates/control/tests/roles/fleet.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use hinge_control::{Control, ControlSettings, Dial, OperatorKeys, Peer, WATCH_ROUTES_PATH};
-use hinge_link::{CallError, Client, ClusterKey};
+use hinge_link::{CallError, Client, ClusterKey, Traffic};
 use hinge_schema::messages::{
     Announce, Apply, ApplyReply, AskStatus, ConfigFile, Role, Status, StatusReply,
 };
@@ -95,6 +95,8 @@
     pub net: Arc<Net>,
     pub folder: tempfile::TempDir,
     pub running: BTreeMap<Box<str>, Control>,
+    /// Traffic of each instance since its start.
+    pub traffic: BTreeMap<Box<str>, Traffic>,
     tolerated_losses: u32,
     names: Vec<Box<str>>,
 }
@@ -124,6 +126,7 @@
             net: Arc::default(),
             folder: tempfile::tempdir().expect("a temporary folder can be created"),
             running: BTreeMap::new(),
+            traffic: BTreeMap::new(),
             tolerated_losses,
             names: names.collect(),
         }
@@ -148,9 +151,11 @@
     async fn open_with_settings(&mut self, name: &str, settings: ControlSettings) {
         let operators =
             OperatorKeys::parse(&format!("ana = \"{SECRET}\"")).expect("the key line is valid");
+        let key = peer_key();
+        self.traffic.insert(name.into(), key.traffic().clone());
         let opened = Control::open_with(
             settings,
-            peer_key(),
+            key,
             operators,
             &Registry::new(),
             self.net.dial(name),
@@ -241,6 +246,20 @@
         put.is_ok_and(|held| held.number >= number)
     }
 
+    /// Sends a table to an instance until it or a newer one is in force.
+    pub async fn put_table(&self, name: &str, table: &RouteTable) {
+        let message = PutTable {
+            table: table.clone(),
+        };
+        loop {
+            let put: Result<PutTableReply, _> = self.call(name, "/v1/routes/put", &message).await;
+            if put.is_ok_and(|held| held.number >= table.number) {
+                return;
+            }
+            pause().await;
+        }
+    }
+
     /// Asks an instance for a newer table as a gateway does, and returns whether it has one.
     pub async fn serves_newer_table(&self, name: &str, number: u64) -> bool {
         let watch = WatchRoutes {
@@ -250,6 +269,7 @@
             endpoints_version: u64::MAX,
             suspects_version: None,
             evacuations_version: None,
+            accepts_patches: None,
             wait_ms: 100,
         };
         let watched = self
--- a/crates/control/tests/roles/main.rs
+++ b/crates/control/tests/roles/main.rs
@@ -6,3 +6,4 @@
 mod fleet;
 mod partition;
 mod relay;
+mod tables;
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -127,6 +127,7 @@
         endpoints_version: snapshot.endpoints_version(),
         suspects_version: Some(routing.suspects.version()),
         evacuations_version: Some(snapshot.evacuations.version),
+        accepts_patches: Some(routing.accepts_patches()),
         wait_ms: millis(WATCH_WAIT),
     }
 }
--- a/crates/gateway/src/gateway/tests/held_tables.rs
+++ b/crates/gateway/src/gateway/tests/held_tables.rs
@@ -14,7 +14,7 @@
 use serde_bytes::ByteBuf;
 use tokio::net::TcpListener;
 
-use super::{Accepting, accept_up_to, bind, connect, send};
+use super::{Accepting, accept_up_to, bind, connect, exchange, send};
 
 fn table(number: u64) -> RouteTable {
     RouteTable {
@@ -100,7 +100,8 @@
         let (gateway, _listener) = with_endpoint().await;
         let caller = connect(gateway.address);
         send(&caller, b"POST / HTTP/1.1\r\nhost: a.example\r\ncontent-length: 9\r\n\r\nbody");
-        super::accept_all(gateway.address, b"").await;
+        let other = connect(gateway.address);
+        exchange(&other, b"GET / HTTP/1.1\r\nhost: unknown.example\r\n\r\n").await;
         let earlier = table_in_force(&gateway);
         gateway.shared.routing.apply_table(table(2));
         assert!(earlier.upgrade().is_none());
--- a/crates/gateway/src/peer_updates.rs
+++ b/crates/gateway/src/peer_updates.rs
@@ -89,6 +89,7 @@
                 address = address,
                 without_ms = routing.age().as_millis(),
                 table = update.table.as_ref().map_or(0, |table| table.number),
+                table_patches = update.table_patches.len(),
                 endpoints = update.endpoints.as_ref().map_or(0, |list| list.version),
                 suspects = update.suspects.as_ref().map_or(0, |list| list.version),
                 evacuations = update.evacuations.as_ref().map_or(0, |list| list.version)
@@ -100,6 +101,7 @@
 
 fn has_changes(update: &RoutesUpdate) -> bool {
     update.table.is_some()
+        || !update.table_patches.is_empty()
         || update.endpoints.is_some()
         || update.suspects.is_some()
         || update.evacuations.is_some()
--- a/crates/gateway/src/routing_state.rs
+++ b/crates/gateway/src/routing_state.rs
@@ -2,17 +2,17 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use hinge_routing::{Address, RouteIndex};
+use hinge_routing::{Address, PatchError, RecentPatches, RouteIndex, patch_table};
 use hinge_schema::routing::{
-    EndpointList, EndpointState, EvacuationList, RouteTable, RoutesUpdate, WatchRoutes,
+    EndpointList, EndpointState, EvacuationList, RouteTable, RoutesUpdate, TablePatch, WatchRoutes,
 };
-use hinge_telemetry::info;
 use hinge_telemetry::log::Component;
+use hinge_telemetry::{info, warn};
 use tokio::time::Instant;
 
 use crate::admission::{AdmissionAccess, AdmissionClient};
@@ -128,7 +128,10 @@
 #[derive(Debug)]
 pub(crate) struct RoutingState {
     current: ArcSwap<RoutingSnapshot>,
-    writer: Mutex<()>,
+    /// The last patches that led to the table; locked by every writer of the state.
+    recent_patches: Mutex<RecentPatches>,
+    /// Whether control may send patches; false after one that could not be applied, until a whole table arrives.
+    accepts_patches: AtomicBool,
     /// How to reach the admissions beside the endpoints; `None` without admissions.
     admission_access: Option<AdmissionAccess>,
     pub(crate) suspects: Arc<Suspects>,
@@ -147,7 +150,8 @@
     pub(crate) fn new(admission_access: Option<AdmissionAccess>, suspects: Suspects) -> Self {
         Self {
             current: ArcSwap::default(),
-            writer: Mutex::default(),
+            recent_patches: Mutex::default(),
+            accepts_patches: AtomicBool::new(true),
             admission_access,
             suspects: Arc::new(suspects),
             notices: NoticeTable::default(),
@@ -177,10 +181,45 @@
 
     /// Puts a newer route table in force; an older one is ignored.
     pub(crate) fn apply_table(&self, table: RouteTable) {
-        let _writer = self.writer.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut recent_patches = self.lock_writer();
+        if self.replace_table(table) {
+            recent_patches.clear();
+        }
+    }
+
+    /// Puts the table in force that results from patches, without those that lead to older tables.
+    fn apply_patches(&self, patches: &[TablePatch]) -> Result<(), PatchError> {
+        let mut recent_patches = self.lock_writer();
+        let current = self.current();
+        let Some(lookup) = &current.lookup else {
+            return Ok(());
+        };
+        let mut newest: Option<RouteTable> = None;
+        for patch in patches {
+            let base = newest.as_ref().unwrap_or(lookup.table());
+            if patch.number > base.number {
+                newest = Some(patch_table(base, patch)?);
+                recent_patches.record(patch);
+            }
+        }
+        if let Some(table) = newest {
+            self.replace_table(table);
+        }
+        Ok(())
+    }
+
+    /// Locks out other writers; the recent patches are updated under the same lock.
+    fn lock_writer(&self) -> MutexGuard<'_, RecentPatches> {
+        self.recent_patches
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Puts a table in force if it is newer, and returns whether it is; the caller holds the writer's lock.
+    fn replace_table(&self, table: RouteTable) -> bool {
         let current = self.current();
         if table.number <= current.table_number() {
-            return;
+            return false;
         }
         info!(
             Component::Gateway,
@@ -198,6 +237,7 @@
             evacuations: Arc::clone(&current.evacuations),
             only_versions: current.only_versions.clone(),
         }));
+        true
     }
 
     /// Applies the newer parts of an update, and returns whether there is a route table now.
@@ -211,6 +251,16 @@
         }
         if let Some(table) = update.table {
             self.apply_table(table);
+            self.accepts_patches.store(true, Ordering::Relaxed);
+        } else if let Err(cause) = self.apply_patches(&update.table_patches) {
+            // The next query asks for the whole table.
+            self.accepts_patches.store(false, Ordering::Relaxed);
+            warn!(
+                Component::Gateway,
+                "Could not apply a change of the route table.",
+                cause = cause,
+                number = self.current().table_number()
+            );
         }
         if let Some(list) = update.suspects {
             self.suspects.apply(&list);
@@ -218,15 +268,27 @@
         self.current().table_number() > 0
     }
 
+    /// Returns whether control may send patches of the table.
+    pub(crate) fn accepts_patches(&self) -> bool {
+        self.accepts_patches.load(Ordering::Relaxed)
+    }
+
     /// Returns everything that is newer than the versions in a query.
     pub(crate) fn changes_since(&self, query: &WatchRoutes) -> RoutesUpdate {
         let current = self.current();
         let lookup = current.lookup.as_ref();
         let newer = lookup.filter(|_| current.table_number() > query.table_number);
+        let accepts_patches = query.accepts_patches.unwrap_or(false);
+        let patches = newer
+            .filter(|_| accepts_patches)
+            .and_then(|lookup| self.lock_writer().since(query.table_number, lookup.table()));
         let list = current.list.as_ref();
         let list = list.filter(|list| list.version > query.endpoints_version);
         RoutesUpdate {
-            table: newer.map(|lookup| lookup.table().clone()),
+            table: newer
+                .filter(|_| patches.is_none())
+                .map(|lookup| lookup.table().clone()),
+            table_patches: patches.unwrap_or_default(),
             endpoints: list.map(|list| EndpointList::clone(list)),
             suspects: query
                 .suspects_version
@@ -244,7 +306,7 @@
     ///
     /// The endpoints of a data centre whose evacuation has ended may have been restarted, so they count as warming up.
     fn apply_evacuations(&self, list: EvacuationList) {
-        let _writer = self.writer.lock().unwrap_or_else(PoisonError::into_inner);
+        let _writer = self.lock_writer();
         let current = self.current();
         if list.version <= current.evacuations.version {
             return;
@@ -289,7 +351,7 @@
 
     /// Applies a newer list of endpoints; an older one is ignored.
     pub(crate) fn apply_endpoints(&self, list: EndpointList) {
-        let _writer = self.writer.lock().unwrap_or_else(PoisonError::into_inner);
+        let _writer = self.lock_writer();
         let current = self.current();
         if list.version <= current.endpoints_version() {
             return;
--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -21,7 +21,7 @@
 use crate::codec::{CodecError, decode, encode};
 use crate::counted::CountedConnector;
 use crate::frames::{FrameReader, FrameSender, counted_frame_body};
-use crate::traffic::{Direction, MessageClass, MessageCounter};
+use crate::traffic::{Direction, MessageClass, MessageCounter, Traffic};
 
 pub(crate) const MESSAGE_TYPE: &str = "application/msgpack";
 
@@ -111,6 +111,12 @@
         Self { http, key }
     }
 
+    /// Returns the traffic counters of the client's key.
+    #[must_use]
+    pub fn traffic(&self) -> &Traffic {
+        self.key.traffic()
+    }
+
     /// Sends one message and returns the answer.
     ///
     /// # Errors
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -18,7 +18,8 @@
 //!   another gateway for them.
 //! - [`StreamOrigins`] remembers which software version began a stream, and [`PeerList`] the gateways that keep
 //!   copies of that.
-//! - [`table_bytes`] estimates the memory of a route table.
+//! - [`table_bytes`] estimates the memory of a route table; [`diff_tables`] and [`patch_table`] make and apply the
+//!   difference between two tables, and [`RecentPatches`] keeps the last ones.
 //! - [`ControlInstances`] selects the control instances that a gateway queries.
 //! - [`CrashTracker`] tells which requests, named by their [`RequestKey`], an endpoint was running when it
 //!   crashed, and [`Suspects`] which of them, or which of their prompt parts, crash their endpoints;
@@ -51,6 +52,7 @@
 mod stream_origins;
 mod suspects;
 mod table_bytes;
+mod table_patch;
 mod team_demand;
 mod usage_lag;
 mod warm_up;
@@ -81,5 +83,8 @@
 pub use stream_origins::{Known, StreamKey, StreamOrigin, StreamOrigins};
 pub use suspects::Suspects;
 pub use table_bytes::table_bytes;
+pub use table_patch::{
+    PatchError, RecentPatches, diff_tables, is_patch_worthwhile, patch_bytes, patch_table,
+};
 pub use usage_lag::{Backlog, BacklogLimits, SpillLimits, UsageLag};
 pub use warm_up::{WarmUp, WarmUpLimits, WarmUpShare};
--- a/crates/routing/src/table_bytes.rs
+++ b/crates/routing/src/table_bytes.rs
@@ -7,14 +7,11 @@
 pub fn table_bytes(table: &RouteTable) -> usize {
     let routes: usize = table.routes.iter().map(route_bytes).sum();
     let teams: usize = table.teams.iter().map(team_bytes).sum();
-    let services = table.services.iter();
-    let services: usize = services
-        .map(|service| size_of::<Service>() + service.name.len() + service.health_path.len())
-        .sum();
+    let services: usize = table.services.iter().map(service_bytes).sum();
     size_of::<RouteTable>() + routes + teams + services + table.document.len()
 }
 
-fn route_bytes(route: &Route) -> usize {
+pub(crate) fn route_bytes(route: &Route) -> usize {
     let targets = route.targets.iter();
     let targets: usize = targets
         .map(|target| size_of::<Target>() + target.service.len())
@@ -27,13 +24,17 @@
         + texts_bytes(&route.allowed_regions)
 }
 
-fn team_bytes(team: &TeamKeys) -> usize {
+pub(crate) fn team_bytes(team: &TeamKeys) -> usize {
     size_of::<TeamKeys>()
         + team.name.len()
         + texts_bytes(&team.keys)
         + texts_bytes(&team.allowed_regions)
 }
 
+pub(crate) fn service_bytes(service: &Service) -> usize {
+    size_of::<Service>() + service.name.len() + service.health_path.len()
+}
+
 fn texts_bytes(texts: &[Box<str>]) -> usize {
     let texts = texts.iter();
     texts.map(|text| size_of::<Box<str>>() + text.len()).sum()
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -6,7 +6,7 @@
     ApplyReply, ClaimBatchReply, ClaimKey, ConfigFile, ConfigProblem, DrainRecord, FinishKey,
     OrderKind, OrderRecord,
 };
-use hinge_schema::routing::RouteTable;
+use hinge_schema::routing::{RouteTable, TablePatch};
 use serde::{Deserialize, Serialize};
 
 use crate::evacuations::EvacuationCommand;
@@ -77,6 +77,10 @@
     },
     /// Puts a route table in force, if its number is the highest so far.
     PutTable(Box<RouteTable>),
+    /// Puts in force the route table that results from a patch of the one in force; from format 2 on.
+    ///
+    /// A patch of another table has no effect: the leader only proposes patches of the table that the log holds before.
+    PatchTable(Box<TablePatch>),
     /// Updates the list of endpoints.
     Endpoint(EndpointCommand),
     /// Records which requests endpoints were working on when they ended, or grants a trial of held prompt parts.
--- a/crates/state/src/routing.rs
+++ b/crates/state/src/routing.rs
@@ -9,9 +9,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hinge_routing::{RequestKey, Suspects};
+use hinge_routing::{RequestKey, Suspects, patch_table};
 use hinge_schema::messages::ServiceInUse;
-use hinge_schema::routing::{Endpoint, EndpointList, EndpointState, RouteTable};
+use hinge_schema::routing::{Endpoint, EndpointList, EndpointState, RouteTable, TablePatch};
 use serde::{Deserialize, Serialize};
 
 use crate::command::{SuspectsCommand, TrialCommand};
@@ -241,6 +241,20 @@
         self.table_number()
     }
 
+    /// Puts in force the table that results from a patch, if the patch is based on the one in force and its number is higher;
+    /// returns the number in force.
+    pub fn patch_table(&mut self, patch: &TablePatch) -> u64 {
+        let patched = self
+            .table
+            .as_ref()
+            .filter(|table| table.number < patch.number)
+            .and_then(|table| patch_table(table, patch).ok());
+        if let Some(table) = patched {
+            self.table = Some(Arc::new(table));
+        }
+        self.table_number()
+    }
+
     /// Returns the record of requests that endpoints were working on when they ended.
     #[must_use]
     pub fn suspects(&self) -> &Suspects {
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -18,8 +18,9 @@
 
 /// Highest format of the log that this version knows.
 ///
-/// Format 1 has evacuations, homes of routes and teams, and endpoints that warm up again.
-pub const LOG_FORMAT: u32 = 1;
+/// Format 1 has evacuations, homes of routes and teams, and endpoints that warm up again; format 2 has patches of the route
+/// table.
+pub const LOG_FORMAT: u32 = 2;
 
 /// Start of a snapshot of format 1 or later, which versions that know format 0 only can't decode.
 ///
@@ -167,6 +168,7 @@
                 Reply::Done
             }
             Command::PutTable(table) => Reply::TableNumber(self.routing.put_table(*table)),
+            Command::PatchTable(patch) => Reply::TableNumber(self.routing.patch_table(&patch)),
             Command::Endpoint(command) => {
                 self.routing.apply(index, self.format, command);
                 Reply::Done
