Gateway: an answer that doesn't end is given up while little of it is held

What callers would have seen: a gateway kept up to 408 KiB for each connection with a head that doesn't end, and 1 MiB for each stream with an event that doesn't end; hundreds of such connections exceed its memory, which ends the requests of all callers. Where the HTTP library skips bytes for as long as they come (informational answers, leading zeros of a chunk size), the request was held until its deadline, though another endpoint could have served it.

Change: at most 64 KiB of an answer are read ahead, which bounds its head; an event may be 128 KiB long. A guard on the connection counts what is read and delivered neither as a head nor as a part of a body, and ends the connection at 256 KiB. The outcome is the one of a broken connection: unknown where the request may run once only, another attempt where it may be repeated, the next endpoint for a stream that may be resumed. A body without end that a caller reads slowly was held back already, and is cut at the deadline.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -85,6 +85,11 @@
 }
 
 impl Connection {
+    /// Records that a part of the answer's body has arrived.
+    pub(crate) fn record_body(&self, bytes: usize) {
+        self.sender.record_body(bytes);
+    }
+
     /// Returns the connection to the pool once its answer is read whole.
     pub(crate) fn keep(self) {
         if !self.closes && !self.endpoint.is_draining() {
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -3,7 +3,9 @@
 use bytes::{Bytes, BytesMut};
 
 /// Largest event that is buffered until its end, in bytes; the events of engines have a few hundred.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+///
+/// An endpoint in trouble may send bytes without end on all of its connections at once.
+const MAX_EVENT_BYTES: usize = 128 << 10;
 
 /// The error of an event that is too long to be buffered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -47,7 +49,7 @@
     ///
     /// # Errors
     ///
-    /// Returns an error when an event does not end within 1 MiB.
+    /// Returns an error when an event does not end within 128 KiB.
     pub fn push(&mut self, bytes: &Bytes) -> Result<Bytes, EventTooLong> {
         if self.partial.is_empty() && bytes.ends_with(b"\n\n") {
             self.record_ids(bytes);
--- a/crates/gateway/src/handoff.rs
+++ b/crates/gateway/src/handoff.rs
@@ -29,6 +29,7 @@
 use crate::gateway::Shared;
 use crate::headers::{closes_connection, strip_hop_by_hop};
 use crate::pool::{self, Pool, Sender};
+use crate::read_guard::UnusedBytes;
 use crate::refusal::Refusal;
 
 /// Header with the number of the sender's route table; a gateway accepts a request only if it has the same table.
@@ -174,7 +175,7 @@
             let mut stream = pool::dial(address).await?;
             stream.write_all(self.key.header_value().as_bytes()).await?;
             stream.write_all(b"\n").await?;
-            pool::handshake(stream).await
+            pool::handshake(stream, UnusedBytes::unlimited()).await
         };
         timeout(CONNECT_TIMEOUT, opened).await.ok()?.ok()
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod plain;
 mod pool;
 mod prepared_refusal;
+mod read_guard;
 mod refusal;
 mod resumption;
 mod routing_state;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -6,13 +6,22 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::{Request, Response};
 use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
+use crate::read_guard::{GuardedStream, UnusedBytes};
+
+#[cfg(test)]
+mod tests;
+
 /// Connect timeout. Endpoints are milliseconds away; a lost SYN would cost a second until it is sent again.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -26,11 +35,50 @@
 /// while the endpoint closes the connection: such a request may have run.
 const KEEP_ALIVE_PERMILLE: u32 = 700;
 
+/// Bytes of an answer that are read ahead, and with that the longest head; bounds the memory of a connection whose endpoint
+/// sends bytes without end.
+const MAX_READ_BYTES: usize = 64 * 1024;
+
 /// Idle connections kept to each endpoint; it never needs more at once than it has slots.
 pub(crate) const MAX_IDLE: usize = 64;
 
 /// The sending half of an HTTP/1 connection.
-pub(crate) type Sender = SendRequest<Full<Bytes>>;
+#[derive(Debug)]
+pub(crate) struct Sender {
+    requests: SendRequest<Full<Bytes>>,
+    unused: UnusedBytes,
+}
+
+impl Sender {
+    /// Waits until the connection takes a request.
+    pub(crate) async fn ready(&mut self) -> hyper::Result<()> {
+        self.requests.ready().await
+    }
+
+    /// Sends a request, and returns its answer once the head has arrived.
+    pub(crate) async fn try_send_request(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.unused.reset();
+        let response = self.requests.try_send_request(request).await;
+        self.unused.reset();
+        response
+    }
+
+    /// Records that a part of an answer's body has arrived.
+    pub(crate) fn record_body(&self, bytes: usize) {
+        self.unused.record_used(bytes);
+    }
+
+    fn is_ready(&self) -> bool {
+        self.requests.is_ready()
+    }
+
+    fn is_closed(&self) -> bool {
+        self.requests.is_closed()
+    }
+}
 
 #[derive(Debug)]
 struct Idle {
@@ -94,7 +142,7 @@
 pub(crate) async fn connect(address: SocketAddr) -> io::Result<Sender> {
     let connected = timeout(CONNECT_TIMEOUT, dial(address)).await;
     let stream = connected.map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))??;
-    handshake(stream).await
+    handshake(stream, UnusedBytes::limited()).await
 }
 
 /// Opens a TCP connection that closes when its data is not acknowledged in time.
@@ -109,18 +157,24 @@
     Ok(stream)
 }
 
-/// Makes a TCP connection ready for HTTP/1 requests.
+/// Makes a connection ready for HTTP/1 requests.
 ///
 /// # Errors
 ///
 /// Returns an error when the connection has closed.
-pub(crate) async fn handshake(stream: TcpStream) -> io::Result<Sender> {
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+pub(crate) async fn handshake<S>(stream: S, unused: UnusedBytes) -> io::Result<Sender>
+where
+    S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+{
+    let stream = GuardedStream::new(stream, unused.clone());
+    let (requests, connection) = http1::Builder::new()
+        .max_buf_size(MAX_READ_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(io::Error::other)?;
     tokio::spawn(async move {
         // A connection error is reported to the request that uses the connection.
         let _ended_or_broken = connection.await;
     });
-    Ok(sender)
+    Ok(Sender { requests, unused })
 }
--- /dev/null
+++ b/crates/gateway/src/read_guard.rs
@@ -0,0 +1,119 @@
+//! Closes connections that deliver bytes without end of which nothing can be used.
+//!
+//! The HTTP library skips informational answers, leading zeros of chunk sizes and the like for as long as they come. The
+//! guard counts what is read of a connection and not delivered as a head or as a part of a body.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll, ready};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// Bytes of an answer that may be read without being used; several times what is read ahead.
+pub(crate) const MAX_UNUSED_BYTES: usize = 256 * 1024;
+
+/// The bytes that were read of a connection and not used yet.
+#[derive(Debug, Clone)]
+pub(crate) struct UnusedBytes {
+    count: Arc<AtomicUsize>,
+    max: usize,
+}
+
+impl UnusedBytes {
+    /// Creates a counter for an endpoint's connection.
+    pub(crate) fn limited() -> Self {
+        Self {
+            count: Arc::default(),
+            max: MAX_UNUSED_BYTES,
+        }
+    }
+
+    /// Creates a counter for a connection whose peer is trusted to end its answers.
+    pub(crate) fn unlimited() -> Self {
+        Self {
+            count: Arc::default(),
+            max: usize::MAX,
+        }
+    }
+
+    /// Records that a request begins or a head has arrived.
+    pub(crate) fn reset(&self) {
+        self.count.store(0, Ordering::Relaxed);
+    }
+
+    /// Records that a part of a body has arrived.
+    pub(crate) fn record_used(&self, bytes: usize) {
+        // The part may have been read before the head was delivered.
+        let subtract = |count: usize| Some(count.saturating_sub(bytes));
+        let _always_some = self
+            .count
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, subtract);
+    }
+
+    fn record_read(&self, bytes: usize) -> io::Result<()> {
+        let before = self.count.fetch_add(bytes, Ordering::Relaxed);
+        if before.saturating_add(bytes) > self.max {
+            let cause = "the peer sends bytes without end that are no answer";
+            return Err(io::Error::new(io::ErrorKind::InvalidData, cause));
+        }
+        Ok(())
+    }
+}
+
+/// A connection that fails once too many unused bytes were read.
+#[derive(Debug)]
+pub(crate) struct GuardedStream<S> {
+    stream: S,
+    unused: UnusedBytes,
+}
+
+impl<S> GuardedStream<S> {
+    pub(crate) fn new(stream: S, unused: UnusedBytes) -> Self {
+        Self { stream, unused }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for GuardedStream<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
+        let bytes = buffer.filled().len() - before;
+        Poll::Ready(self.unused.record_read(bytes))
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for GuardedStream<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, parts)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/crates/gateway/src/streaming.rs
+++ b/crates/gateway/src/streaming.rs
@@ -119,13 +119,17 @@
             () = batch.due() => NextChunk::Due,
         };
         let chunk = match next {
-            NextChunk::Data(data) => match splitter.as_mut() {
-                Some(splitter) => match splitter.push(&data) {
-                    Ok(whole) => whole,
-                    Err(_too_long) => return StreamEnd::Broken,
-                },
-                None => data,
-            },
+            NextChunk::Data(data) => {
+                connection.record_body(data.len());
+                match splitter.as_mut().map(|splitter| splitter.push(&data)) {
+                    Some(Ok(whole)) => whole,
+                    Some(Err(_too_long)) => {
+                        history.record_cause("an event of the answer does not end");
+                        return StreamEnd::Broken;
+                    }
+                    None => data,
+                }
+            }
             NextChunk::End => break,
             NextChunk::Broken => {
                 in_use.record_broken(&job.outgoing);
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -49,7 +49,7 @@
     }
     an_event_that_exceeds_the_limit_is_an_error => {
         let mut splitter = EventSplitter::default();
-        let piece = Bytes::from(vec![b'a'; 600 << 10]);
+        let piece = Bytes::from(vec![b'a'; 80 << 10]);
         splitter.push(&piece).expect("it may still end");
         splitter.push(&piece).expect_err("it is too long");
     }
