Raft: inherited entries count against the bound of a new leader

Cause: the bound on uncommitted proposals counted those of the leader itself. A leader that began with uncommitted entries of an earlier term accepted as many bytes again, and so did the next one; the uncommitted part of the log grew with each change of the leader for as long as nothing was committed.

Change: the entries that a leader began with count until an entry of its own term is committed.

entries_of_earlier_terms_count_against_the_bound_of_a_new_leader fails without it: a proposal is accepted beside 8 MiB of inherited entries, the whole bound.

--- a/crates/raft/src/election.rs
+++ b/crates/raft/src/election.rs
@@ -282,7 +282,9 @@
 
     fn become_leader(&mut self) {
         let first_index = self.log.last_index() + 1;
-        self.state = State::Leader(Box::new(LeaderState::new(first_index, self.now)));
+        let inherited_bytes = self.log.payload_bytes_after(self.commit);
+        let leader_state = LeaderState::new(first_index, inherited_bytes, self.now);
+        self.state = State::Leader(Box::new(leader_state));
         self.leader = Some(self.config.id);
         self.track_members();
         self.append_as_leader(EntryKind::Noop, Box::default());
--- a/crates/raft/src/log.rs
+++ b/crates/raft/src/log.rs
@@ -80,6 +80,13 @@
         self.entries.iter()
     }
 
+    /// Returns the bytes of the payloads of the entries after an index.
+    pub(crate) fn payload_bytes_after(&self, index: Index) -> usize {
+        let after = self.entries.iter().rev();
+        let after = after.take_while(|entry| entry.index > index);
+        after.map(|entry| entry.payload.len()).sum()
+    }
+
     /// Returns copies of the entries from `from` on, up to `max_bytes` but at least one if there is any.
     pub(crate) fn batch(&self, from: Index, max_bytes: usize) -> Vec<Entry> {
         let mut batch = Vec::new();
--- a/crates/raft/src/progress.rs
+++ b/crates/raft/src/progress.rs
@@ -152,6 +152,8 @@
     pub(crate) elected_at: Duration,
     /// Index of the term's first entry.
     pub(crate) first_index: Index,
+    /// Bytes of the uncommitted entries of earlier terms that this leader began with.
+    pub(crate) inherited_bytes: usize,
     pub(crate) reads: Vec<PendingRead>,
     pub(crate) transfer: Option<Transfer>,
     /// Set once another node was told to campaign: from then on others may vote despite this term's lease.
@@ -159,8 +161,9 @@
 }
 
 impl LeaderState {
-    pub(crate) fn new(first_index: Index, now: Duration) -> Self {
+    pub(crate) fn new(first_index: Index, inherited_bytes: usize, now: Duration) -> Self {
         Self {
+            inherited_bytes,
             peers: BTreeMap::new(),
             rounds: Rounds::new(now),
             round_began_at: now,
--- a/crates/raft/src/proposal.rs
+++ b/crates/raft/src/proposal.rs
@@ -47,13 +47,28 @@
             return Err(ProposeError::TooLarge { max_bytes });
         }
         let is_full = self.proposals.len() >= self.config.max_pending_proposals
-            || self.pending_bytes + payload.len() > self.config.max_pending_bytes;
+            || self.uncommitted_bytes() + payload.len() > self.config.max_pending_bytes;
         if is_full {
             return Err(ProposeError::Full);
         }
         Ok(self.append_as_leader(EntryKind::Command, payload))
     }
 
+    /// Returns the bytes of the proposals that wait to be committed, and of the entries that this leader began with.
+    ///
+    /// Without the latter, the uncommitted part of the log could grow with each change of the leader.
+    fn uncommitted_bytes(&self) -> usize {
+        let State::Leader(leader_state) = &self.state else {
+            return self.pending_bytes;
+        };
+        let is_inheritance_committed = self.commit >= leader_state.first_index;
+        if is_inheritance_committed {
+            self.pending_bytes
+        } else {
+            self.pending_bytes + leader_state.inherited_bytes
+        }
+    }
+
     pub(crate) fn check_can_propose(&self) -> Result<(), ProposeError> {
         let State::Leader(leader_state) = &self.state else {
             return Err(ProposeError::NotLeader {
--- a/crates/raft/tests/raft/memory.rs
+++ b/crates/raft/tests/raft/memory.rs
@@ -5,8 +5,8 @@
 
 use hinge_cases::cases;
 use hinge_raft::{
-    AppendResult, Body, Config, HeldBytes, Membership, Message, Node, NodeId, Output,
-    PersistentState, Role, Term,
+    AppendResult, Body, Config, Entry, EntryKind, HardState, HeldBytes, Membership, Message, Node,
+    NodeId, Output, PersistentState, ProposeError, Role, Term,
 };
 
 /// Most bytes that a node may hold: half of control's memory budget of 32 MB.
@@ -42,6 +42,15 @@
 
 impl Leader {
     fn elect(learners: Vec<NodeId>) -> Self {
+        let mut leader = Self::elect_with(learners, Vec::new());
+        leader.settle();
+        leader.reply(3, AppendResult::Accepted { match_index: 1 });
+        leader.settle();
+        leader
+    }
+
+    /// Makes a leader of a log that already has entries; nothing of its own term is acknowledged yet.
+    fn elect_with(learners: Vec<NodeId>, entries: Vec<Entry>) -> Self {
         let membership = Membership {
             voters: vec![1, 2, 3],
             learners,
@@ -49,11 +58,19 @@
         let mut config = Config::new(1, 7);
         config.max_proposal_bytes = MAX_ENTRY_BYTES;
         config.max_pending_bytes = 2 * MAX_ENTRY_BYTES;
-        let state = PersistentState::bootstrap(membership);
+        let term = entries.last().map_or(0, |entry| entry.term);
+        let state = PersistentState {
+            hard_state: HardState {
+                term,
+                ..HardState::default()
+            },
+            entries,
+            ..PersistentState::bootstrap(membership)
+        };
         let node = Node::open(config, state, Duration::ZERO, 1).expect("valid state");
         let mut leader = Self {
             node,
-            term: 1,
+            term: term + 1,
             now: LATER,
             applied_bytes: 0,
             sent_to_silent: 0,
@@ -63,10 +80,7 @@
         leader.step(2, Body::PreVoteReply { granted: true });
         leader.settle();
         leader.step(2, Body::VoteReply { granted: true });
-        leader.settle();
         assert_eq!(leader.node.role(), Role::Leader);
-        leader.reply(3, AppendResult::Accepted { match_index: 1 });
-        leader.settle();
         leader
     }
 
@@ -267,4 +281,20 @@
         }
         assert_eq!(most, state_bytes);
     }
+
+    // Guards against a log whose uncommitted part grows with each change of the leader.
+    entries_of_earlier_terms_count_against_the_bound_of_a_new_leader => {
+        let entries = (1..=2).map(|index| Entry {
+            term: 1,
+            index,
+            kind: EntryKind::Command,
+            payload: vec![0; MAX_ENTRY_BYTES].into(),
+        });
+        let mut leader = Leader::elect_with(Vec::new(), entries.collect());
+        let proposed = leader.node.propose(leader.now, Box::new([1]));
+        assert_eq!(proposed, Err(ProposeError::Full), "8 MiB wait already");
+        leader.reply(2, AppendResult::Accepted { match_index: 3 });
+        leader.settle();
+        leader.commit(MAX_ENTRY_BYTES);
+    }
 }
