Calls: long messages and whole configurations in progress are bounded in bytes

Each held something of the size of the configuration as often as there were calls or watchers: messages of calls in progress (up to 16 MiB each), documents of operators that arrive at the same time, and the answers to watches of the folder, at control and at relays, one copy for each watcher.

Change: 16 MiB of messages over 64 KiB are held by the calls in progress of a process, without those of the log, which their sender and their queue bound; 4 MiB of documents are put at the same time, further ones wait unread; a watch whose answer has a configuration waits while 8 MiB of calls and answers are unsent. A message or a document that does not arrive within 10 s gives its place up.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,7 +8,6 @@
 //! A relay has no disk. It watches control on behalf of its data centre, and keeps serving its last known state while
 //! control is unreachable.
 
-mod byte_budget;
 mod control;
 mod core;
 mod directory;
--- a/crates/control/src/peer_calls.rs
+++ b/crates/control/src/peer_calls.rs
@@ -272,6 +272,10 @@
         if core.leadership() == Leadership::Unknown {
             return Err(UNAVAILABLE);
         }
+        let is_behind = core.driver.view.load().folder.version() > message.config_version;
+        if is_behind && !core.client.wait_for_room(deadline).await {
+            return Err(UNAVAILABLE);
+        }
         let update = update(&core, &message);
         if update.config.is_some() || update.members.is_some() {
             return Ok(update);
--- a/crates/control/src/peer_client.rs
+++ b/crates/control/src/peer_client.rs
@@ -7,6 +7,13 @@
 use hinge_link::{CallError, Client, ClusterKey};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::time::{Instant, sleep};
+
+/// Bytes of unsent calls and answers above which no whole configuration is encoded for another watcher.
+const MAX_UNSENT_BYTES: u64 = 8 << 20;
+
+/// Interval at which an answer with a whole configuration checks whether there is room for it.
+const ROOM_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Resolves the addresses of settings and announcements to those to connect to.
 ///
@@ -41,9 +48,18 @@
         }
     }
 
-    /// Returns the bytes of this process's calls and answers that are encoded and not yet written to their sockets.
-    pub(crate) fn unsent_bytes(&self) -> u64 {
-        self.client.traffic().unsent_bytes()
+    /// Waits until few enough bytes of calls and answers are unsent; returns false if they are too many at the deadline.
+    ///
+    /// A change concerns all watchers at once. If each answer with a whole configuration were encoded at once, many watchers
+    /// would exhaust the memory together.
+    pub(crate) async fn wait_for_room(&self, deadline: Instant) -> bool {
+        while self.client.traffic().unsent_bytes() > MAX_UNSENT_BYTES {
+            if Instant::now() >= deadline {
+                return false;
+            }
+            sleep(ROOM_POLL_INTERVAL).await;
+        }
+        true
     }
 
     pub(crate) async fn call<Q, A>(
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -5,13 +5,13 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use hinge_link::ByteBudget;
 use hinge_raft::{Message, NodeId};
 use hinge_state::LOG_FORMAT;
 use serde::{Deserialize, Serialize};
 use tokio::runtime::Handle;
 use tokio::sync::mpsc;
 
-use crate::byte_budget::ByteBudget;
 use crate::peer_client::PeerClient;
 
 #[cfg(test)]
--- a/crates/control/src/relay.rs
+++ b/crates/control/src/relay.rs
@@ -53,7 +53,7 @@
     pub(crate) incarnation: u64,
     /// Wakes the task that sends announcements to control.
     pub(crate) has_changes: Notify,
-    client: PeerClient,
+    pub(crate) client: PeerClient,
     /// Index of the control instance that answered last.
     upstream: AtomicUsize,
     downstream: Mutex<Downstream>,
--- a/crates/control/src/relay_calls.rs
+++ b/crates/control/src/relay_calls.rs
@@ -69,6 +69,10 @@
         .note_version(&message.instance, message.config_version);
     loop {
         published.borrow_and_update();
+        let is_behind = core.held.version() > message.config_version;
+        if is_behind && !core.client.wait_for_room(deadline).await {
+            return Err(StatusCode::SERVICE_UNAVAILABLE);
+        }
         let update = update(&core, &message);
         if update.config.is_some() || update.members.is_some() {
             return Ok(update);
--- a/crates/control/src/routing_calls.rs
+++ b/crates/control/src/routing_calls.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hinge_link::ClusterKey;
+use hinge_link::{ByteBudget, ClusterKey, HeldBudget};
 use hinge_routing::{TableError, check_homes};
 use hinge_schema::routing::{
     Endpoint, EndpointList, EndpointReply, EvacuationList, MeetGateways, NearbyGateways,
@@ -17,7 +17,7 @@
 use hinge_telemetry::log::Component;
 use hinge_telemetry::{info, warn};
 use http::StatusCode;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, timeout_at};
 use viz::Router;
 
 use crate::core::{Core, Leadership};
@@ -38,11 +38,9 @@
 /// Format of the log from which it holds repeated warm-ups of an endpoint.
 const MIN_REPEATED_WARM_UP_FORMAT: u32 = 1;
 
-/// Bytes of unsent calls and answers above which no whole table is encoded for another gateway.
-const MAX_UNSENT_BYTES: u64 = 8 << 20;
-
-/// Interval at which an answer with a whole table checks whether there is room for it.
-const ROOM_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Bytes of the documents of tables that are being put: one of the longest, or a dozen of some hundreds of kilobytes. Each is
+/// in memory a few times, decoded and encoded.
+const MAX_DOCUMENT_BYTES: usize = 4 << 20;
 
 /// Path on which a gateway learns the addresses of others in its data centre.
 pub const MEET_GATEWAYS_PATH: &str = "/v1/gateways/meet";
@@ -97,15 +95,25 @@
 #[derive(Debug, Clone)]
 pub struct RoutingCalls {
     core: StateCell<Core>,
+    /// Limits the documents of tables that are being put.
+    documents: ByteBudget,
 }
 
 impl RoutingCalls {
     pub(crate) fn new(core: &StateCell<Core>) -> Self {
         Self {
             core: Arc::clone(core),
+            documents: ByteBudget::new(MAX_DOCUMENT_BYTES),
         }
     }
 
+    /// Waits until a document of this length may be read, and holds its bytes until the result is dropped.
+    ///
+    /// A caller that puts tables holds this from before it reads the document until the table is in force.
+    pub async fn hold_document(&self, bytes: usize) -> HeldBudget {
+        self.documents.acquire(bytes).await
+    }
+
     /// Puts a table in force unless a higher-numbered one is; returns the number in force once that is durable.
     ///
     /// # Errors
@@ -438,15 +446,10 @@
     newer_table(&view.routing, message).is_some() && recent_patches(view, message).is_none()
 }
 
-/// Waits until few enough bytes of earlier answers are unsent, so that many gateways can't exhaust the memory together.
+/// Waits until there is room for a whole table.
 async fn wait_for_room(core: &Core, deadline: Instant) -> Result<(), StatusCode> {
-    while core.client.unsent_bytes() > MAX_UNSENT_BYTES {
-        if Instant::now() >= deadline {
-            return Err(UNAVAILABLE);
-        }
-        sleep(ROOM_POLL_INTERVAL).await;
-    }
-    Ok(())
+    let has_room = core.client.wait_for_room(deadline).await;
+    has_room.then_some(()).ok_or(UNAVAILABLE)
 }
 
 /// Returns the list of endpoints, with the warm-up times that are left now.
--- a/crates/link/src/auth.rs
+++ b/crates/link/src/auth.rs
@@ -9,8 +9,12 @@
 use sha2::{Digest, Sha256};
 use subtle::ConstantTimeEq;
 
+use crate::byte_budget::ByteBudget;
 use crate::traffic::Traffic;
 
+/// Bytes of the long messages that calls in progress have received.
+const MAX_RECEIVED_BYTES: usize = 16 << 20;
+
 const SCHEME: &str = "Bearer ";
 
 /// The key that all processes of one cluster share.
@@ -23,6 +27,8 @@
     header: Arc<str>,
     /// Both ends of every connection hold the key, so the counters of its connections are kept with it.
     traffic: Traffic,
+    /// Limits the long messages of calls in progress at this process.
+    received: ByteBudget,
 }
 
 impl ClusterKey {
@@ -42,6 +48,7 @@
         Self {
             header: header.into(),
             traffic: Traffic::default(),
+            received: ByteBudget::new(MAX_RECEIVED_BYTES),
         }
     }
 
@@ -51,6 +58,11 @@
         Self { traffic, ..self }
     }
 
+    /// Returns the budget of the long messages of calls in progress.
+    pub(crate) fn received(&self) -> &ByteBudget {
+        &self.received
+    }
+
     /// Returns the counters of the connections that this key and its clones authenticate.
     #[must_use]
     pub fn traffic(&self) -> &Traffic {
--- a/crates/link/src/byte_budget.rs
+++ b/crates/link/src/byte_budget.rs
@@ -9,19 +9,22 @@
 
 /// A number of bytes that tasks may hold at the same time.
 #[derive(Debug, Clone)]
-pub(crate) struct ByteBudget {
+pub struct ByteBudget {
     units: Arc<Semaphore>,
     max_units: u32,
 }
 
 /// A part of a budget, returned to it on drop.
 #[derive(Debug)]
-pub(crate) struct HeldBudget {
+#[must_use = "the bytes are returned when it is dropped"]
+pub struct HeldBudget {
     _permit: Option<OwnedSemaphorePermit>,
 }
 
 impl ByteBudget {
-    pub(crate) fn new(max_bytes: usize) -> Self {
+    /// Creates a budget of so many bytes.
+    #[must_use]
+    pub fn new(max_bytes: usize) -> Self {
         let max_units = u32::try_from(max_bytes / UNIT_BYTES).unwrap_or(u32::MAX);
         Self {
             units: Arc::new(Semaphore::new(max_units as usize)),
@@ -30,7 +33,7 @@
     }
 
     /// Waits until so many bytes are free, and takes them; a longer request takes the whole budget.
-    pub(crate) async fn acquire(&self, bytes: usize) -> HeldBudget {
+    pub async fn acquire(&self, bytes: usize) -> HeldBudget {
         let units = u32::try_from(bytes.div_ceil(UNIT_BYTES)).unwrap_or(u32::MAX);
         let units = Arc::clone(&self.units).acquire_many_owned(units.min(self.max_units));
         HeldBudget {
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -5,6 +5,7 @@
 //! cluster key. [`Traffic`] counts messages and bytes.
 
 mod auth;
+mod byte_budget;
 mod client;
 mod codec;
 mod counted;
@@ -14,6 +15,7 @@
 mod traffic;
 
 pub use auth::ClusterKey;
+pub use byte_budget::{ByteBudget, HeldBudget};
 pub use client::{CallError, Client, Exchange};
 pub use codec::{CodecError, decode, encode};
 pub use drain::{Drain, DrainGuard, DrainStream, MAX_PENDING, accept_pending, close_listener};
--- a/crates/link/src/server.rs
+++ b/crates/link/src/server.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use futures::{FutureExt, TryFutureExt};
-use http::header::CONNECTION;
+use http::header::{CONNECTION, CONTENT_LENGTH};
 use http::{HeaderValue, StatusCode, Version};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -21,6 +21,7 @@
 use viz::{Body, IntoResponse, Request, Responder, Response, Router, Tree};
 
 use crate::auth::ClusterKey;
+use crate::byte_budget::HeldBudget;
 use crate::client::MAX_MESSAGE_BYTES;
 use crate::codec::{decode, encode};
 use crate::counted::CountedStream;
@@ -28,6 +29,12 @@
 use crate::frames::{FrameReader, FrameSender, counted_frame_body};
 use crate::traffic::{Direction, MessageClass, MessageCounter, SocketCounter};
 
+/// Longest time for a call's message to arrive; the longest calls wait less for their answer.
+const MESSAGE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Length up to which a call need not wait for others with long messages.
+const SHORT_MESSAGE_BYTES: usize = 64 << 10;
+
 /// The resource limits of one listener.
 #[derive(Debug, Clone, Copy)]
 pub struct Limits {
@@ -228,9 +235,11 @@
     }
     let class = MessageClass::of_path(request.uri().path());
     count_as_peer(key, &request);
-    let whole = Limited::new(request.into_body(), MAX_MESSAGE_BYTES)
-        .collect()
-        .await;
+    let _held = hold_long_message(key, class, &request).await;
+    let whole = Limited::new(request.into_body(), MAX_MESSAGE_BYTES).collect();
+    let Ok(whole) = tokio::time::timeout(MESSAGE_TIMEOUT, whole).await else {
+        return Ok(StatusCode::REQUEST_TIMEOUT.into_response());
+    };
     let Ok(whole) = whole else {
         return Ok(StatusCode::PAYLOAD_TOO_LARGE.into_response());
     };
@@ -255,6 +264,23 @@
     }
 }
 
+/// Waits until a call with a long message may be read, and holds its bytes until the answer is made.
+///
+/// Messages of the log are bounded by their sender and by the queue that takes them, and calls in progress may wait for them.
+async fn hold_long_message(
+    key: &ClusterKey,
+    class: MessageClass,
+    request: &Request,
+) -> Option<HeldBudget> {
+    let declared = request.headers().get(CONTENT_LENGTH);
+    let declared = declared.and_then(|bytes| bytes.to_str().ok()?.parse().ok());
+    let bytes: usize = declared.unwrap_or(MAX_MESSAGE_BYTES);
+    if class == MessageClass::Raft || bytes <= SHORT_MESSAGE_BYTES {
+        return None;
+    }
+    Some(key.received().acquire(bytes).await)
+}
+
 /// Serves one exchange from a peer: checks the key, then spawns the given task with both directions.
 ///
 /// The task is not cancelled when the exchange breaks; it learns of this from the reader or [`FrameSender::closed`].
