--- a/crates/control/src/driver/tables.rs
+++ b/crates/control/src/driver/tables.rs
@@ -24,20 +24,16 @@
             }
         });
         let patch = patch.filter(|patch| is_patch_worthwhile(patch, &table));
-        match patch {
-            Some(patch) => {
-                let command = Command::PatchTable(Box::new(patch));
-                (command.encode(), Arc::from(table))
-            }
-            None => {
-                let command = Command::PutTable(table);
-                let payload = command.encode();
-                let Command::PutTable(table) = command else {
-                    unreachable!("the command was just made");
-                };
-                (payload, Arc::from(table))
-            }
+        if let Some(patch) = patch {
+            let command = Command::PatchTable(Box::new(patch));
+            return (command.encode(), Arc::from(table));
         }
+        let command = Command::PutTable(table);
+        let payload = command.encode();
+        let Command::PutTable(table) = command else {
+            unreachable!("the command was just made");
+        };
+        (payload, Arc::from(table))
     }
 
     /// Returns the newest table in the log, if this leader knows it and may propose patches.
--- a/crates/gateway/src/handoff.rs
+++ b/crates/gateway/src/handoff.rs
@@ -241,7 +241,7 @@
 
 /// The outcome of offering a request to another gateway.
 enum OfferOutcome {
-    Answered(Response<AnswerBody>),
+    Answered(Box<Response<AnswerBody>>),
     Declined(Decline),
     Unreachable,
     /// The request may have run, and there is no answer.
@@ -285,7 +285,7 @@
                 overload.record_handoff_outcome(response.status().is_success());
                 drop(overload);
                 log_handoff(outgoing, address, offered.len(), overloaded);
-                return Some(response);
+                return Some(*response);
             }
             OfferOutcome::Declined(decline) => {
                 shared.overload().record_offer_failure(decline.failure());
@@ -337,7 +337,8 @@
         connection: is_kept.then_some((pool, sender)),
         _in_use: in_use,
     };
-    OfferOutcome::Answered(Response::from_parts(head, AnswerBody::HandedOff(body)))
+    let response = Response::from_parts(head, AnswerBody::HandedOff(body));
+    OfferOutcome::Answered(Box::new(response))
 }
 
 fn request(shared: &Shared, table: u64, outgoing: &OutgoingRequest) -> Request<Full<Bytes>> {
--- a/crates/gateway/src/read_guard.rs
+++ b/crates/gateway/src/read_guard.rs
@@ -79,11 +79,11 @@
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
+        buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
-        let bytes = buffer.filled().len() - before;
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        let bytes = buf.filled().len() - before;
         Poll::Ready(self.unused.record_read(bytes))
     }
 }
@@ -92,17 +92,17 @@
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        bytes: &[u8],
+        buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
     fn poll_write_vectored(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        parts: &[io::IoSlice<'_>],
+        bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, parts)
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -92,11 +92,7 @@
         Ok(matched) => matched,
         Err(refusal) => return refuse_early(&gateway, table_number, &facts, &parts, refusal),
     };
-    let timeout = Duration::from_millis(route.timeout_ms);
-    let ends_at = arrived
-        + facts
-            .deadline
-            .map_or(timeout, |deadline| deadline.min(timeout));
+    let ends_at = arrived + time_limit(&route, &facts);
     let body = match read_body(max_body_bytes, body, ends_at).await {
         Ok(body) => body,
         Err(refusal) => return refuse_early(&gateway, table_number, &facts, &parts, refusal),
@@ -171,6 +167,14 @@
     }
 }
 
+/// Returns the earlier of the caller's deadline and the route's timeout, from the request's arrival.
+fn time_limit(route: &Route, facts: &RequestFacts) -> Duration {
+    let timeout = Duration::from_millis(route.timeout_ms);
+    facts
+        .deadline
+        .map_or(timeout, |deadline| deadline.min(timeout))
+}
+
 /// Hands a request without room off to a gateway with the same table if it may be handed off, and refuses it otherwise.
 async fn without_room(
     gateway: &Arc<Shared>,
--- a/crates/raft/src/held.rs
+++ b/crates/raft/src/held.rs
@@ -4,6 +4,7 @@
 
 use crate::node::{Node, State};
 use crate::progress::Mode;
+use crate::snapshot::IncomingSnapshot;
 use crate::types::Snapshot;
 
 /// Bytes of payloads that a node keeps in memory, by kind.
@@ -35,7 +36,7 @@
             incoming_snapshot: self
                 .incoming_snapshot
                 .as_ref()
-                .map_or(0, |incoming| incoming.received_bytes()),
+                .map_or(0, IncomingSnapshot::received_bytes),
             ..HeldBytes::default()
         };
         for entry in self.log.entries() {
--- a/crates/raft/tests/raft/memory.rs
+++ b/crates/raft/tests/raft/memory.rs
@@ -22,6 +22,7 @@
 const LATER: Duration = Duration::from_secs(3);
 
 /// Number, size and snapshot size of the changes that a leader commits while one follower is silent.
+#[derive(Clone, Copy)]
 struct Load {
     changes: usize,
     change_bytes: usize,
