--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -6,6 +6,7 @@
 mod diskless;
 mod format;
 mod joining;
+mod publish;
 mod tables;
 #[cfg(test)]
 mod tests;
