--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -179,7 +179,7 @@
     stalled_after: Duration,
     started_at: Instant,
     pub(crate) commits: Arc<AtomicU64>,
-    /// Bytes that the thread holds, as of its last tick.
+    /// Bytes that the thread holds, as of its last count.
     pub(crate) held_bytes: Arc<ArcSwap<ThreadBytes>>,
 }
 
@@ -270,6 +270,7 @@
             recent_patches: RecentPatches::default(),
             live_tables: LiveTables::default(),
             held_bytes: Arc::clone(&held_bytes),
+            next_count_at: Duration::ZERO,
         };
         std::thread::Builder::new()
             .name("control-log".to_owned())
--- a/crates/control/src/driver/publish.rs
+++ b/crates/control/src/driver/publish.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use hinge_raft::{NodeId, Role};
 use hinge_state::ControlName;
@@ -12,6 +13,9 @@
 use super::{NodeStatus, View, view_of};
 use crate::memory::ThreadBytes;
 
+/// Interval at which the held bytes are counted, which takes time in proportion to the number of entries.
+const COUNT_INTERVAL: Duration = Duration::from_secs(1);
+
 impl LogThread {
     /// Logs the membership if it changed; it determines the quorum.
     pub(super) fn log_membership(&mut self) {
@@ -76,7 +80,12 @@
         }
     }
 
-    pub(super) fn publish_held_bytes(&self) {
+    /// Counts and publishes the bytes that this thread holds, if it is time to.
+    pub(super) fn publish_held_bytes(&mut self, now: Duration) {
+        if now < self.next_count_at {
+            return;
+        }
+        self.next_count_at = now + COUNT_INTERVAL;
         self.held_bytes.store(Arc::new(ThreadBytes {
             node: self.node.held_bytes(),
             queued_messages: self.peers.queued_bytes(),
--- a/crates/control/src/driver/thread.rs
+++ b/crates/control/src/driver/thread.rs
@@ -70,6 +70,8 @@
     pub(super) recent_patches: RecentPatches,
     pub(super) live_tables: LiveTables,
     pub(super) held_bytes: Arc<ArcSwap<ThreadBytes>>,
+    /// When the held bytes are to be counted next.
+    pub(super) next_count_at: Duration,
 }
 
 impl LogThread {
@@ -115,7 +117,7 @@
                 self.record_founders(now);
                 self.remove_diskless_voters(now);
                 self.raise_format(now);
-                self.publish_held_bytes();
+                self.publish_held_bytes(now);
             }
             self.process_output()?;
             if self.may_stop() {
--- a/crates/control/tests/roles/tables.rs
+++ b/crates/control/tests/roles/tables.rs
@@ -12,7 +12,7 @@
 
 use crate::fleet::{Fleet, pause};
 
-/// Routes of the review's case 2.
+/// Routes of a large configuration.
 const ROUTES: usize = 1_800;
 
 const CHANGES: u64 = 20;
--- a/crates/routing/tests/table_patch.rs
+++ b/crates/routing/tests/table_patch.rs
@@ -17,7 +17,7 @@
 /// Most bytes of a patch for one changed value, whatever the size of the table.
 const ONE_VALUE_BYTES: usize = 4_096;
 
-/// Routes of the review's case 2.
+/// Routes of a large configuration.
 const MANY_ROUTES: usize = 1_800;
 
 fn route(name: usize, timeout_ms: u64) -> Route {
