--- a/crates/control/src/table_calls.rs
+++ b/crates/control/src/table_calls.rs
@@ -105,26 +105,46 @@
     leader: &str,
     table: &RouteTable,
 ) -> Result<Option<u64>, StatusCode> {
-    let view = core.driver.view.load_full();
-    let Some(base) = view
-        .routing
-        .table()
-        .filter(|_| view.format >= MIN_PATCH_FORMAT)
-    else {
-        return Ok(None);
-    };
-    if table.number <= base.number {
-        // What this instance has applied is committed, so the table changes nothing.
-        return Ok(Some(base.number));
+    let deadline = Instant::now() + APPLY_WAIT;
+    loop {
+        let view = core.driver.view.load_full();
+        let base = view.routing.table();
+        let Some(base) = base.filter(|_| view.format >= MIN_PATCH_FORMAT) else {
+            return Ok(None);
+        };
+        if table.number <= base.number {
+            // What this instance has applied is committed, so the table changes nothing.
+            return Ok(Some(base.number));
+        }
+        let patch = diff_tables(base, table);
+        if !is_patch_worthwhile(&patch, table) {
+            return Ok(None);
+        }
+        let reply: PatchTableReply = core
+            .forward(&core.client, leader, PATCH_TABLE, &PatchTable { patch })
+            .await?;
+        if reply.number.is_some() {
+            return Ok(reply.number);
+        }
+        // The leader has a newer table already, which this instance is about to apply.
+        if !has_newer_table(core, base.number, deadline).await {
+            return Ok(None);
+        }
     }
-    let patch = diff_tables(base, table);
-    if !is_patch_worthwhile(&patch, table) {
-        return Ok(None);
+}
+
+/// Waits until this instance has applied a newer table than the one of a number; returns false at the deadline.
+async fn has_newer_table(core: &Core, number: u64, deadline: Instant) -> bool {
+    let mut published = core.published.subscribe();
+    loop {
+        published.borrow_and_update();
+        if core.driver.view.load().routing.table_number() > number {
+            return true;
+        }
+        if !matches!(timeout_at(deadline, published.changed()).await, Ok(Ok(()))) {
+            return false;
+        }
     }
-    let reply: PatchTableReply = core
-        .forward(&core.client, leader, PATCH_TABLE, &PatchTable { patch })
-        .await?;
-    Ok(reply.number)
 }
 
 async fn put_as_leader(core: Arc<Core>, message: PutTable) -> Result<PutTableReply, StatusCode> {
@@ -240,14 +260,6 @@
 /// Returns the table that this instance has applied, once it is at least as new as the one of a number.
 async fn applied_table(core: &Core, number: u64) -> Option<Option<Arc<RouteTable>>> {
     let deadline = Instant::now() + APPLY_WAIT;
-    let mut published = core.published.subscribe();
-    loop {
-        published.borrow_and_update();
-        let view = core.driver.view.load();
-        if view.routing.table_number() >= number {
-            return Some(view.routing.table().cloned());
-        }
-        drop(view);
-        timeout_at(deadline, published.changed()).await.ok()?.ok()?;
-    }
+    let is_applied = number == 0 || has_newer_table(core, number - 1, deadline).await;
+    is_applied.then(|| core.driver.view.load().routing.table().cloned())
 }
