--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -383,7 +383,8 @@
 
     def start_worker(self, worker):
         worker["starts"] += 1
-        worker["id"] = f"i-{new_id()[:10]}"
+        if "id" not in worker or not worker["behaviour"].get("says_born"):
+            worker["id"] = f"i-{new_id()[:10]}"
         words = [
             sys.executable, os.path.join(HERE, "worker.py"), "--id", worker["id"], "--name", worker["name"],
             "--service", worker["service"], "--zone", worker["zone"], "--address", worker["address"],
--- a/review/standins-2/worker.py
+++ b/review/standins-2/worker.py
@@ -27,6 +27,8 @@
         self.running = 0
         self.waiting = 0
         self.sequence = 0
+        # Where workers start again under the id that they had, they tell their starts apart by this.
+        self.born = {"born": int(time.time() * 1000)} if self.behaviour.get("says_born") else {}
         self.runs = {}
         self.state = "ready"
         self.is_retired = False
@@ -45,6 +47,7 @@
     def beat_forever(self):
         addresses = self.arguments.control.split(",")
         index = 0
+        time.sleep(self.behaviour.get("first_beat_late_s", 0))
         while not self.is_retired:
             self.sequence += 1
             state = self.state
@@ -52,6 +55,7 @@
                 "service": self.arguments.service, "address": self.arguments.address, "zone": self.arguments.zone,
                 "version": self.behaviour.get("version", "v1"), "slots": self.arguments.slots, "state": state, "coldRemainingMs": 0,
                 "stage": "hybrid", "models": [{"name": "m", "version": 1, "adapters": []}], "seq": self.sequence,
+                **self.born,
             })
             for _ in addresses:
                 try:
@@ -79,7 +83,7 @@
             try:
                 ip, port = address.split(":")
                 connection = http.client.HTTPConnection(ip, int(port), timeout=1.0)
-                connection.request("DELETE", f"/sequoiahinge/instances/{self.arguments.id}")
+                connection.request("DELETE", f"/sequoiahinge/instances/{self.arguments.id}", json.dumps(self.born))
                 if connection.getresponse().status < 300:
                     return
             except OSError:
@@ -162,7 +166,7 @@
         report = {"stage": "hybrid", "models": [{"name": "m", "version": 1, "adapters": []}], "busy": False,
                   "seq": 0, "queued": self.waiting, "active": self.running, "kvUsed": 100 * self.running,
                   "kvTotal": 279911, "handles": 0, "pinned": 0, "held": 0, "state": "ready", "next": 0,
-                  "runs": [[run, 100, events, 1] for run, events in self.runs.items()]}
+                  "runs": [[run, 100, events, 1] for run, events in self.runs.items()], **self.born}
         await self.answer(writer, 200, json.dumps(report).encode(), {"Content-Type": "application/json"})
         return True
 
