Observability: suspensions, and which route table each instance has applied

Every role compares the clocks once a second now, and logs and counts the difference (hinge_machine_suspended_ms). Control logs each route table that it applies, and both roles show its number (hinge_control_table_number, hinge_gateway_table_number); a gateway's line names the time without control.

--- a/crates/control/src/driver/tables.rs
+++ b/crates/control/src/driver/tables.rs
@@ -5,6 +5,8 @@
 use hinge_routing::{diff_tables, is_patch_worthwhile};
 use hinge_schema::routing::{RouteTable, TablePatch};
 use hinge_state::Command;
+use hinge_telemetry::info;
+use hinge_telemetry::log::Component;
 
 use super::thread::LogThread;
 use crate::table_calls::MIN_PATCH_FORMAT;
@@ -72,6 +74,13 @@
         if number == number_before {
             return;
         }
+        info!(
+            Component::Control,
+            "A route table is applied.",
+            number = number,
+            before = number_before,
+            index = self.applied_index
+        );
         match patch {
             Some(patch) => self.recent_patches.record(patch),
             None => self.recent_patches.clear(),
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -19,6 +19,7 @@
     learners: Gauge<i64, AtomicI64>,
     commits: Gauge<i64, AtomicI64>,
     config_version: Gauge<i64, AtomicI64>,
+    table_number: Gauge<i64, AtomicI64>,
     members: Gauge<i64, AtomicI64>,
     open_orders: Gauge<i64, AtomicI64>,
     refused_reports: Gauge<i64, AtomicI64>,
@@ -47,6 +48,10 @@
                 "control_config_version",
                 "Newest configuration version here",
             ),
+            table_number: registry.gauge(
+                "control_table_number",
+                "Number of the route table that is applied here",
+            ),
             members: registry.gauge("control_members", "Members listed"),
             open_orders: registry.gauge("control_open_orders", "Orders that are not answered"),
             refused_reports: registry.gauge(
@@ -71,6 +76,7 @@
         self.commits.set(to_gauge(commits));
         let view = core.driver.view.load();
         self.config_version.set(to_gauge(view.folder.version()));
+        self.table_number.set(to_gauge(view.routing.table_number()));
         self.open_orders
             .set(to_gauge(view.open_orders.len() as u64));
         let soft = core.soft();
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -17,6 +17,7 @@
 
 use crate::reload;
 use crate::signals::Signals;
+use crate::suspension;
 
 /// The state that every role shares: settings, keys, metrics, readiness and signals.
 #[derive(Debug)]
@@ -88,6 +89,7 @@
     pub(crate) async fn bind_admin(&self, role: &str) -> Result<Admin> {
         let version = env!("CARGO_PKG_VERSION");
         self.registry.process_info(self.incarnation, role, version);
+        suspension::spawn(&self.registry);
         let address = self.settings.admin_listen;
         let admin = Admin::bind(
             address,
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,6 +5,7 @@
 mod reload;
 mod roles;
 mod signals;
+mod suspension;
 
 use std::process::ExitCode;
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -44,6 +44,21 @@
     pub(crate) max_state_age: Duration,
 }
 
+/// The gauges of the route table in force.
+#[derive(Debug)]
+pub(crate) struct TableGauges {
+    pub(crate) age_ms: Gauge,
+    pub(crate) number: Gauge,
+}
+
+impl TableGauges {
+    fn set(&self, age: Duration, number: u64) {
+        let age_ms = i64::try_from(age.as_millis()).unwrap_or(i64::MAX);
+        self.age_ms.set(age_ms);
+        self.number.set(i64::try_from(number).unwrap_or(i64::MAX));
+    }
+}
+
 /// Long-polls control until the task is aborted.
 pub(crate) async fn run(
     client: Client,
@@ -51,7 +66,7 @@
     seeds: watch::Receiver<Vec<Box<str>>>,
     routing: Arc<RoutingState>,
     readiness: Arc<Readiness>,
-    table_age_ms: Gauge,
+    gauges: TableGauges,
 ) {
     let mut targets = ControlInstances::new(&seeds.borrow(), rand::random::<u32>() as usize);
     let mut peer_updates = PeerUpdates::new();
@@ -65,7 +80,7 @@
         let fetched = peer_updates.fetch(&client, &routing, &query);
         let (queried, ()) = futures::join!(queried, fetched);
         let without = routing.age();
-        table_age_ms.set(i64::try_from(without.as_millis()).unwrap_or(i64::MAX));
+        gauges.set(without, routing.current().table_number());
         match queried {
             Ok((address, update)) => {
                 if !was_followed {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -36,7 +36,7 @@
 use crate::dedicated_thread::DedicatedThread;
 use crate::dialect::Dialect;
 use crate::endpoint::Endpoint;
-use crate::follow::{self, FollowSettings};
+use crate::follow::{self, FollowSettings, TableGauges};
 use crate::gateway_count::GatewayCount;
 use crate::handoff::Handoffs;
 use crate::listener::CallerListener;
@@ -401,18 +401,14 @@
     announcement: MeetGateways,
 ) {
     let routing = Arc::clone(&shared.routing);
-    let table_age_ms = shared.metrics.table_age_ms.clone();
+    let gauges = TableGauges {
+        age_ms: shared.metrics.table_age_ms.clone(),
+        number: shared.metrics.table_number.clone(),
+    };
     let instance = settings.instance.clone();
     let reporting = suspect_reports::run(client.clone(), instance.clone(), Arc::clone(&routing));
     let trials = part_trials::run(client.clone(), instance, Arc::clone(&routing));
-    let following = follow::run(
-        client.clone(),
-        settings,
-        seeds,
-        routing,
-        readiness,
-        table_age_ms,
-    );
+    let following = follow::run(client.clone(), settings, seeds, routing, readiness, gauges);
     let discovery = peer_discovery::run(client, announcement, shared);
     futures::join!(reporting, trials, following, discovery);
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -35,6 +35,8 @@
     declined: Counter,
     /// Time since control last confirmed the route table, in milliseconds.
     pub(crate) table_age_ms: Gauge,
+    /// Number of the route table in force.
+    pub(crate) table_number: Gauge,
 }
 
 impl Metrics {
@@ -93,6 +95,10 @@
                 "gateway_declined",
                 "Requests of other gateways of the data centre that were not taken.",
             ),
+            table_number: registry.gauge(
+                "gateway_table_number",
+                "Number of the route table in force, as of the last answer or failure of control.",
+            ),
             table_age_ms: registry.gauge(
                 "gateway_table_age_ms",
                 "Milliseconds since control last confirmed the route table, as of the last answer or failure.",
--- a/crates/gateway/src/routing_state.rs
+++ b/crates/gateway/src/routing_state.rs
@@ -227,7 +227,8 @@
             number = table.number,
             before = current.table_number(),
             routes = table.routes.len(),
-            teams = table.teams.len()
+            teams = table.teams.len(),
+            without_ms = self.age().as_millis()
         );
         self.current.store(Arc::new(RoutingSnapshot {
             lookup: Some(Arc::new(RouteIndex::new(table))),
