--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -50,9 +50,9 @@
     /// # Panics
     ///
     /// Panics when it is beyond what the type can represent.
-    fn add(self, duration: Duration) -> Self {
+    fn add(self, rhs: Duration) -> Self {
         Self {
-            since_boot: self.since_boot + duration,
+            since_boot: self.since_boot + rhs,
         }
     }
 }
