Leases and ages are measured on a clock that runs while the machine is suspended

What callers saw: after its machine had been suspended, a leader answered reads with the former configuration, though another instance had acknowledged a newer one two seconds before.

Cause: the leader's lease, the age of the log's thread and the age of a gateway's table were differences of Instant, which on Linux stands still during a suspension. A lease of half a second seemed to hold after four.

BootInstant reads the clock that counts suspensions. Control (the log's node and thread, members, relay), gateways (table, only version of a service, origins of streams, suspects, grants, kept connections, peers), members and sidecars use it. The stalled-grant test passes the time of sending in now, since it ran on tokio's virtual clock; its cases and bounds are the same.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -1,8 +1,9 @@
 //! The state that the calls of a control instance share.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use hinge_clock::BootInstant;
 use hinge_schema::messages::{JoinControl, JoinedControl, Unavailable};
 use hinge_state::{Command, Reply};
 use http::StatusCode;
@@ -59,7 +60,7 @@
     pub(crate) published: watch::Sender<u64>,
     pub(crate) planner: Planner,
     soft: Mutex<SoftState>,
-    started_at: Instant,
+    started_at: BootInstant,
 }
 
 impl Core {
@@ -80,7 +81,7 @@
             published,
             planner: Planner::default(),
             soft: Mutex::new(SoftState::new()),
-            started_at: Instant::now(),
+            started_at: BootInstant::now(),
         }
     }
 
--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -18,9 +18,10 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{SyncSender, sync_channel};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use hinge_clock::BootInstant;
 use hinge_raft::{Config, Membership, Node, NodeId, Status, Term};
 use hinge_routing::RecentPatches;
 use hinge_schema::messages::{
@@ -177,7 +178,7 @@
     /// Time of the thread's last iteration, in microseconds since `started_at`.
     last_round_us: Arc<AtomicU64>,
     stalled_after: Duration,
-    started_at: Instant,
+    started_at: BootInstant,
     pub(crate) commits: Arc<AtomicU64>,
     /// Bytes that the thread holds, as of its last count.
     pub(crate) held_bytes: Arc<ArcSwap<ThreadBytes>>,
@@ -191,7 +192,7 @@
         mut peers: Peers,
         published: watch::Sender<u64>,
     ) -> Result<Self, hinge_raft::OpenError> {
-        let started_at = Instant::now();
+        let started_at = BootInstant::now();
         let cluster = hinge_state::keys::fnv1a(settings.cluster_id.as_bytes());
         let mut config = Config::new(opened.node_id, cluster);
         config.election_timeout = settings.election_timeout;
--- a/crates/control/src/driver/thread.rs
+++ b/crates/control/src/driver/thread.rs
@@ -4,9 +4,10 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use hinge_clock::BootInstant;
 use hinge_raft::{
     DropReason, EntryKind, Index, Membership, Message, Node, NodeId, Output, ReadId, Role, Term,
 };
@@ -27,7 +28,7 @@
     pub(super) queued_batch_bytes: Arc<AtomicUsize>,
     pub(super) own_id: NodeId,
     pub(super) own_name: Box<str>,
-    pub(super) started_at: Instant,
+    pub(super) started_at: BootInstant,
     pub(super) tick: Duration,
     pub(super) next_tick: Duration,
     pub(super) node: Node,
--- a/crates/control/src/relay.rs
+++ b/crates/control/src/relay.rs
@@ -8,8 +8,9 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use hinge_clock::BootInstant;
 use hinge_config::current::{Applied, CurrentConfig};
 use hinge_link::{ClusterKey, Limits, Server, ServerHandle};
 use hinge_schema::messages::{Announce, AnnouncedBatch, Role, ServiceTotals, Update, Watch};
@@ -57,7 +58,7 @@
     /// Index of the control instance that answered last.
     upstream: AtomicUsize,
     downstream: Mutex<Downstream>,
-    started_at: Instant,
+    started_at: BootInstant,
 }
 
 impl RelayCore {
@@ -145,7 +146,7 @@
             has_changes: Notify::new(),
             client: PeerClient::new(key, dial),
             upstream: AtomicUsize::new(0),
-            started_at: Instant::now(),
+            started_at: BootInstant::now(),
         });
         let _first_and_only = state_cell.set(Arc::clone(&core));
         let bound = || server.local_address().to_string().into_boxed_str();
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use hinge_admission::LOAD_PATH;
+use hinge_clock::BootInstant;
 use hinge_link::Client;
 use hinge_routing::load_interval;
 use hinge_schema::routing::{AdmitAsk, AdmitVerdict, AskLoad, EngineLoad};
@@ -12,7 +13,7 @@
 use hinge_telemetry::{info, warn};
 use tokio::sync::Mutex as AsyncMutex;
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{sleep, timeout};
 
 use crate::admission_stream::{AdmissionStream, SentAsk};
 use crate::endpoint::Endpoint;
@@ -54,7 +55,7 @@
     address: Box<str>,
     access: AdmissionAccess,
     stream: AsyncMutex<Option<Arc<AdmissionStream>>>,
-    bypassed_until: Mutex<Option<Instant>>,
+    bypassed_until: Mutex<Option<BootInstant>>,
     feed: OnceLock<JoinHandle<()>>,
 }
 
@@ -99,7 +100,7 @@
     /// Whether the request was sent so late that a reported loss may precede its arrival.
     was_sent_late: bool,
     /// Earliest time at which the slot can have been granted.
-    granted_after: Instant,
+    granted_after: BootInstant,
     lost_grace: Duration,
     pub(crate) waited_ms: u64,
     pub(crate) ahead_tokens: u32,
@@ -109,7 +110,7 @@
     pub(crate) fn new(
         sent_ask: SentAsk,
         verdict: &AdmitVerdict,
-        asked_at: Instant,
+        asked_at: BootInstant,
         lost_grace: Duration,
     ) -> Self {
         Self {
@@ -128,9 +129,9 @@
         self.granted_after.elapsed()
     }
 
-    /// Records that the request is sent now.
-    pub(crate) fn record_sent(&mut self) {
-        self.was_sent_late = self.age() > MAX_GRANT_AGE;
+    /// Records when the request is sent.
+    pub(crate) fn record_sent(&mut self, now: BootInstant) {
+        self.was_sent_late = now.saturating_duration_since(self.granted_after) > MAX_GRANT_AGE;
     }
 
     /// Waits until the admission reports that the engine no longer runs the request, then for a grace period.
@@ -178,7 +179,7 @@
             return AskOutcome::Unasked;
         };
         let wait = Duration::from_millis(ask.budget_ms) + VERDICT_MARGIN;
-        let asked_at = Instant::now();
+        let asked_at = BootInstant::now();
         let mut sent_ask = stream.ask(ask);
         let Some(verdict) = wait_for_verdict(&mut sent_ask, wait).await else {
             self.bypass(&request_id);
@@ -222,12 +223,12 @@
     fn is_bypassed(&self) -> bool {
         let bypassed = self.bypassed_until.lock();
         let bypassed = bypassed.unwrap_or_else(PoisonError::into_inner);
-        bypassed.is_some_and(|until| Instant::now() < until)
+        bypassed.is_some_and(|until| BootInstant::now() < until)
     }
 
     fn bypass(&self, request_id: &str) {
         let bypassed = self.bypassed_until.lock();
-        *bypassed.unwrap_or_else(PoisonError::into_inner) = Some(Instant::now() + BYPASS);
+        *bypassed.unwrap_or_else(PoisonError::into_inner) = Some(BootInstant::now() + BYPASS);
         warn!(
             Component::Gateway,
             "An admission does not reply; requests go to its engine without a grant.",
--- a/crates/gateway/src/admission_stream/tests.rs
+++ b/crates/gateway/src/admission_stream/tests.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use hinge_cases::async_cases;
+use hinge_clock::BootInstant;
 use hinge_schema::routing::{AdmitAsk, AdmitLost, AdmitVerdict, EngineLoad, FromAdmission};
 use tokio::sync::mpsc;
-use tokio::time::{Instant, advance, timeout};
+use tokio::time::{advance, timeout};
 
 use super::{AdmissionStream, deliver, lock};
 use crate::admission::Grant;
@@ -22,7 +23,7 @@
     let (messages, _to_send) = mpsc::unbounded_channel();
     let asks = Arc::default();
     let stream = Arc::new(AdmissionStream { messages, asks });
-    let asked_at = Instant::now();
+    let asked_at = BootInstant::now();
     let sent_ask = stream.ask(AdmitAsk {
         number: 0,
         request_id: "id-1".into(),
@@ -55,8 +56,9 @@
         },
     };
     let mut grant = Grant::new(sent_ask, &verdict, asked_at, LOST_GRACE);
-    advance(Duration::from_millis(wait_ms + sent_after_ms)).await;
-    grant.record_sent();
+    let sent_after = Duration::from_millis(wait_ms + sent_after_ms);
+    advance(sent_after).await;
+    grant.record_sent(asked_at + sent_after);
     advance(Duration::from_millis(
         LOST_AFTER_MS.saturating_sub(sent_after_ms),
     ))
--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use hinge_clock::BootInstant;
 use hinge_routing::{
     AnswerProgress, Backlog, Candidate, ChoiceRules, CircuitBreaker, CircuitBreakerRules,
     CrashTracker, IncarnationHash, Pace, PlainCandidate, PlainRequest, PlainSpeed, RequestKey,
@@ -541,7 +542,7 @@
     /// Records that the request is sent now.
     pub(crate) fn record_sent(&mut self) {
         if let Some(grant) = &mut self.grant {
-            grant.record_sent();
+            grant.record_sent(BootInstant::now());
             return;
         }
         let endpoint = &self.endpoint;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
+use hinge_clock::BootInstant;
 use hinge_link::{
     Client, ClusterKey, Drain, DrainGuard, Limits, Server, ServerHandle, close_listener,
 };
@@ -129,7 +130,7 @@
     pub(crate) handoffs: Handoffs,
     pub(crate) gateway_count: GatewayCount,
     pub(crate) streams: Arc<StreamDirectory>,
-    began: Instant,
+    began: BootInstant,
 }
 
 impl Shared {
@@ -280,7 +281,7 @@
             handoffs: Handoffs::new(key.clone()),
             gateway_count: GatewayCount::default(),
             streams: Arc::clone(&streams),
-            began: Instant::now(),
+            began: BootInstant::now(),
         });
         let (stop, stopped) = watch::channel(false);
         let (seeds, seed_changes) = watch::channel(settings.control.clone());
--- a/crates/gateway/src/gateway/tests.rs
+++ b/crates/gateway/src/gateway/tests.rs
@@ -10,6 +10,7 @@
 use std::sync::{Arc, Mutex, OnceLock};
 
 use hinge_cases::async_cases;
+use hinge_clock::BootInstant;
 use hinge_link::ClusterKey;
 use hinge_routing::{ChoiceRules, DataCenters, OverloadRules, RetryBudgetRules};
 use hinge_telemetry::metrics::Registry;
@@ -18,7 +19,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::yield_now;
-use tokio::time::{Duration, Instant};
+use tokio::time::Duration;
 
 use super::{Shared, accept_callers};
 use crate::connections::Connections;
@@ -86,7 +87,7 @@
         handoffs: Handoffs::new(key()),
         gateway_count: GatewayCount::default(),
         streams: Arc::new(StreamDirectory::register(&registry)),
-        began: Instant::now(),
+        began: BootInstant::now(),
     })
 }
 
--- a/crates/gateway/src/gateway_count.rs
+++ b/crates/gateway/src/gateway_count.rs
@@ -1,10 +1,9 @@
 //! Estimates how many gateways there are.
 
+use hinge_clock::BootInstant;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
-use tokio::time::Instant;
-
 /// Time for which the highest count is used; a gateway hears from each control instance several times in it.
 const COUNT_TTL: Duration = Duration::from_mins(1);
 
@@ -13,7 +12,7 @@
 /// A control instance that has just started has heard of few gateways. Shares of a common limit must rather be too small.
 #[derive(Debug, Default)]
 pub(crate) struct GatewayCount {
-    highest: Mutex<Option<(u32, Instant)>>,
+    highest: Mutex<Option<(u32, BootInstant)>>,
 }
 
 impl GatewayCount {
@@ -23,7 +22,7 @@
         let is_higher =
             highest.is_none_or(|(known, at)| count >= known || at.elapsed() >= COUNT_TTL);
         if is_higher {
-            *highest = Some((count, Instant::now()));
+            *highest = Some((count, BootInstant::now()));
         }
     }
 
--- a/crates/gateway/src/handoff.rs
+++ b/crates/gateway/src/handoff.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hinge_clock::BootInstant;
 use hinge_link::ClusterKey;
 use hinge_routing::{OfferFailure, Overloaded, PeerGateways};
 use hinge_telemetry::log::Component;
@@ -122,7 +123,7 @@
 #[derive(Debug)]
 pub(crate) struct Handoffs {
     key: ClusterKey,
-    began: Instant,
+    began: BootInstant,
     peers: Mutex<PeerGateways>,
     pools: Mutex<HashMap<SocketAddr, Arc<Pool>>>,
 }
@@ -131,7 +132,7 @@
     pub(crate) fn new(key: ClusterKey) -> Self {
         Self {
             key,
-            began: Instant::now(),
+            began: BootInstant::now(),
             peers: Mutex::default(),
             pools: Mutex::default(),
         }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hinge_clock::BootInstant;
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -15,7 +16,7 @@
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
-use tokio::time::{Instant, timeout};
+use tokio::time::timeout;
 
 use crate::read_guard::{GuardedStream, UnusedBytes};
 
@@ -83,7 +84,7 @@
 #[derive(Debug)]
 struct Idle {
     sender: Sender,
-    use_until: Instant,
+    use_until: BootInstant,
 }
 
 /// The idle connections to one endpoint, of which the most recently used is taken first.
@@ -104,7 +105,7 @@
 
     /// Takes an idle connection that is still usable, as far as is known.
     pub(crate) fn take(&self) -> Option<Sender> {
-        let now = Instant::now();
+        let now = BootInstant::now();
         let mut idle = self.lock();
         idle.retain(|idle| now < idle.use_until && !idle.sender.is_closed());
         let ready = idle.iter().rposition(|idle| idle.sender.is_ready())?;
@@ -119,7 +120,7 @@
         if idle.len() < self.max_idle && !sender.is_closed() {
             idle.push(Idle {
                 sender,
-                use_until: Instant::now() + keep_for,
+                use_until: BootInstant::now() + keep_for,
             });
         }
     }
--- a/crates/gateway/src/routing_state.rs
+++ b/crates/gateway/src/routing_state.rs
@@ -7,13 +7,13 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use hinge_clock::BootInstant;
 use hinge_routing::{Address, PatchError, RecentPatches, RouteIndex, patch_table};
 use hinge_schema::routing::{
     EndpointList, EndpointState, EvacuationList, RouteTable, RoutesUpdate, TablePatch, WatchRoutes,
 };
 use hinge_telemetry::log::Component;
 use hinge_telemetry::{info, warn};
-use tokio::time::Instant;
 
 use crate::admission::{AdmissionAccess, AdmissionClient};
 use crate::endpoint::Endpoint;
@@ -38,7 +38,7 @@
 #[derive(Debug, Clone)]
 struct OnlyVersion {
     software_version: Box<str>,
-    since: Instant,
+    since: BootInstant,
 }
 
 impl Default for RoutingSnapshot {
@@ -104,7 +104,7 @@
             let known = known.filter(|known| *known.software_version == *version);
             let next = known.cloned().unwrap_or_else(|| OnlyVersion {
                 software_version: version.into(),
-                since: Instant::now(),
+                since: BootInstant::now(),
             });
             Some((service.into(), next))
         });
@@ -140,7 +140,7 @@
     pub(crate) control: ArcSwap<Vec<Address>>,
     /// All known control instances.
     pub(crate) known_control: ArcSwap<Vec<Address>>,
-    began: Instant,
+    began: BootInstant,
     /// When control last confirmed that this state is current, in milliseconds since `began`.
     confirmed_ms: AtomicU64,
 }
@@ -157,7 +157,7 @@
             notices: NoticeTable::default(),
             control: ArcSwap::default(),
             known_control: ArcSwap::default(),
-            began: Instant::now(),
+            began: BootInstant::now(),
             confirmed_ms: AtomicU64::new(0),
         }
     }
--- a/crates/gateway/src/stream_directory.rs
+++ b/crates/gateway/src/stream_directory.rs
@@ -12,6 +12,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use hinge_clock::BootInstant;
 use hinge_link::{Client, ClusterKey, serve_call, serve_exchange};
 use hinge_routing::{Known, PeerList, StreamKey, StreamOrigin, StreamOrigins};
 use hinge_schema::routing::{FindStreams, FoundStreams, RecordStreams, StreamsBegun};
@@ -19,7 +20,7 @@
 use prometheus_client::metrics::counter::Counter;
 use tokio::sync::{Notify, oneshot};
 use tokio::task::JoinSet;
-use tokio::time::{Instant, timeout};
+use tokio::time::timeout;
 use viz::{Request, Router};
 
 /// Path of the exchange over which a gateway sends copies of origins.
@@ -64,7 +65,7 @@
 /// Where streams began, as far as this gateway knows.
 #[derive(Debug)]
 pub(crate) struct StreamDirectory {
-    began: Instant,
+    began: BootInstant,
     origins: Mutex<StreamOrigins>,
     peers: Mutex<Peers>,
     /// Origins of streams that began here and have not been copied yet.
@@ -92,7 +93,7 @@
                 "gateway_stream_copies_failed",
                 "Origins of streams that no gateway could be sent.",
             ),
-            began: Instant::now(),
+            began: BootInstant::now(),
             origins: Mutex::default(),
             peers: Mutex::default(),
             unsent: Mutex::default(),
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -9,6 +9,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use hinge_clock::BootInstant;
 use hinge_routing::{AnswerProgress, PartEvidence, RequestKey, Suspects as SuspectTable};
 use hinge_schema::routing::SuspectList;
 use hinge_telemetry::log::Component;
@@ -17,7 +18,6 @@
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
 use smallvec::SmallVec;
-use tokio::time::Instant;
 
 use crate::attempt::{OutgoingRequest, part_ids};
 use crate::endpoint::Endpoint;
@@ -78,7 +78,7 @@
 struct State {
     table: SuspectTable,
     evidence: PartEvidence,
-    held_since: HashMap<RequestKey, Instant>,
+    held_since: HashMap<RequestKey, BootInstant>,
 }
 
 /// The requests and prompt parts during which endpoints have ended.
@@ -91,7 +91,7 @@
     /// Observations that control has not acknowledged yet.
     pub(crate) pending_reports: PendingReports,
     pub(crate) trials: PartTrials,
-    began: Instant,
+    began: BootInstant,
     ends: Counter,
     rejections: Counter,
     part_rejections: Counter,
@@ -107,7 +107,7 @@
             has_held: AtomicBool::new(false),
             pending_reports: PendingReports::default(),
             trials: PartTrials::register(registry),
-            began: Instant::now(),
+            began: BootInstant::now(),
             ends: registry.counter(
                 "gateway_ended_under",
                 "Requests whose endpoint ended while it worked on them.",
@@ -349,7 +349,7 @@
         evidence.retain_suspicions(|part| table.crash_count(part) > 0);
         held_since.retain(|key, _| table.is_held(key));
         for key in table.held() {
-            held_since.entry(*key).or_insert_with(Instant::now);
+            held_since.entry(*key).or_insert_with(BootInstant::now);
         }
         self.has_any.store(!table.is_empty(), Ordering::Release);
         let held = table.held().len();
--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use hinge_clock::BootInstant;
 use hinge_config::current::{Applied, CurrentConfig, Snapshot};
 use hinge_link::Client;
 use hinge_schema::messages::{
@@ -13,7 +14,6 @@
 use hinge_telemetry::info;
 use hinge_telemetry::log::Component;
 use tokio::sync::watch;
-use tokio::time::Instant;
 
 use crate::gossip::Gossip;
 use crate::list::{MemberList, MembersApplied};
@@ -34,7 +34,7 @@
     /// Wakes the announcing task when the state of this process has changed.
     pub(crate) announce_now: tokio::sync::Notify,
     announce_template: Announce,
-    started_at: Instant,
+    started_at: BootInstant,
     members: ArcSwap<MemberList>,
     config_writer: Mutex<()>,
     members_writer: Mutex<()>,
@@ -96,7 +96,7 @@
             running: AtomicU32::new(0),
             ejected: AtomicBool::new(false),
             announce_template,
-            started_at: Instant::now(),
+            started_at: BootInstant::now(),
             members: ArcSwap::default(),
             config_writer: Mutex::default(),
             members_writer: Mutex::default(),
--- a/crates/sidecar/src/shared.rs
+++ b/crates/sidecar/src/shared.rs
@@ -2,10 +2,11 @@
 
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use std::sync::Arc;
 
+use hinge_clock::BootInstant;
 use hinge_fair::Limits;
 use hinge_member::Member;
 use hinge_outcome::{ClaimId, Verdict};
@@ -60,7 +61,7 @@
     pub(crate) fence: tokio::sync::Mutex<Fence>,
     /// Notified whenever a run, an offer or a kept answer may have ended.
     changes: watch::Sender<()>,
-    started: Instant,
+    started: BootInstant,
     state: Mutex<State>,
 }
 
@@ -100,7 +101,7 @@
             metrics,
             fence: tokio::sync::Mutex::default(),
             changes: watch::Sender::new(()),
-            started: Instant::now(),
+            started: BootInstant::now(),
             state: Mutex::new(State {
                 dispatcher: Dispatcher::new(slot_rules, limits),
                 signal_senders: HashMap::new(),
