Soak: what suspends a process moves to the tests

The library and all that knows of it are test code only, so they move below platform/tests; a process of the test kit merely takes variables for its environment now.

--- a/crates/fakes/src/process.rs
+++ b/crates/fakes/src/process.rs
@@ -1,12 +1,11 @@
 //! Starts, observes and kills a process of the daemon, by its process id.
 
-use std::io::Write as _;
 use std::net::SocketAddr;
 use std::os::unix::process::ExitStatusExt as _;
 use std::path::{Path, PathBuf};
 use std::process::{ExitStatus, Stdio};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::Uri;
@@ -23,12 +22,6 @@
 /// Time between two checks of a condition.
 pub const POLL: Duration = Duration::from_millis(20);
 
-/// File name of the library that makes a process believe that its machine was suspended.
-const SUSPENSION_LIBRARY: &str = "libhinge_suspension.so";
-
-/// Environment variable in which that library is told of its file.
-const SUSPENDED_NS_FILE: &str = "SUSPENDED_NS_FILE";
-
 const SIGHUP: i32 = 1;
 const SIGTERM: i32 = 15;
 const SIGCONT: i32 = 18;
@@ -71,8 +64,8 @@
     role: String,
     settings: PathBuf,
     panics: Panics,
-    /// File with the length of its suspensions, if it can be suspended.
-    suspended: Option<PathBuf>,
+    /// Variables added to its environment.
+    variables: Vec<(&'static str, PathBuf)>,
 }
 
 /// A running process and what it has logged.
@@ -81,8 +74,6 @@
     launch: Launch,
     child: Child,
     log: watch::Receiver<String>,
-    /// Length of all suspensions since it started, and when the present one began.
-    suspended: Mutex<(Duration, Option<Instant>)>,
     /// Numbers of the signals sent to it.
     sent: Mutex<Vec<i32>>,
 }
@@ -115,38 +106,36 @@
             role: role.to_owned(),
             settings,
             panics,
-            suspended: None,
+            variables: Vec::new(),
         })
     }
 
-    /// Does the same as [`Self::spawn_recording_panics`], and lets [`Self::suspend`] be used.
-    ///
-    /// The library of `hinge-suspension` must be a dependency of the test.
+    /// Does the same as [`Self::spawn_recording_panics`], and adds variables to the environment of the process.
     ///
     /// # Panics
     ///
     /// Panics when the binary does not start.
     #[must_use]
-    pub fn spawn_suspendable(binary: &Path, role: &str, settings: PathBuf, panics: Panics) -> Self {
-        let suspended = settings.with_extension("suspended");
+    pub fn spawn_with_variables(
+        binary: &Path,
+        role: &str,
+        settings: PathBuf,
+        panics: Panics,
+        variables: Vec<(&'static str, PathBuf)>,
+    ) -> Self {
         Self::launch(Launch {
             binary: binary.into(),
             role: role.to_owned(),
             settings,
             panics,
-            suspended: Some(suspended),
+            variables,
         })
     }
 
     fn launch(launch: Launch) -> Self {
-        let mut command = Command::new(&launch.binary);
-        if let Some(suspended) = &launch.suspended {
-            write_suspended(suspended, Duration::ZERO);
-            command
-                .env("LD_PRELOAD", suspension_library())
-                .env(SUSPENDED_NS_FILE, suspended);
-        }
-        let mut child = command
+        let variables = launch.variables.iter();
+        let mut child = Command::new(&launch.binary)
+            .envs(variables.map(|(name, value)| (name, value)))
             .arg(&launch.role)
             .arg("--settings")
             .arg(&launch.settings)
@@ -181,7 +170,6 @@
             launch,
             child,
             log,
-            suspended: Mutex::default(),
             sent: Mutex::default(),
         }
     }
@@ -336,38 +324,15 @@
         self.signal(SIGSTOP);
     }
 
-    /// Stops the process as if its machine were suspended, until [`Self::thaw`].
-    ///
-    /// # Panics
-    ///
-    /// Panics when the process has ended, or is not suspendable.
-    pub fn suspend(&self) {
-        assert!(self.launch.suspended.is_some(), "it is not suspendable");
-        self.freeze();
-        let (_, since) = &mut *self.suspended();
-        since.get_or_insert_with(Instant::now);
-    }
-
-    /// Lets a stopped or suspended process go on; its steady clock has not counted the time of a suspension.
+    /// Lets a stopped process go on, with SIGCONT.
     ///
     /// # Panics
     ///
     /// Panics when the process has ended.
     pub fn thaw(&self) {
-        if let Some(file) = &self.launch.suspended {
-            let (total, since) = &mut *self.suspended();
-            *total += since.take().map_or(Duration::ZERO, |since| since.elapsed());
-            write_suspended(file, *total);
-        }
         self.signal(SIGCONT);
     }
 
-    fn suspended(&self) -> MutexGuard<'_, (Duration, Option<Instant>)> {
-        self.suspended
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Kills the process at once, with SIGKILL.
     ///
     /// # Panics
@@ -452,28 +417,6 @@
     }
 }
 
-/// Writes the length of a process's suspensions to the file that the preloaded library reads.
-fn write_suspended(file: &Path, total: Duration) {
-    let nanos = u64::try_from(total.as_nanos()).unwrap_or(u64::MAX);
-    // Written in place, since the process has mapped the file.
-    let mut file = std::fs::OpenOptions::new()
-        .create(true)
-        .truncate(false)
-        .write(true)
-        .open(file)
-        .expect("the file can be opened");
-    file.write_all(&nanos.to_ne_bytes())
-        .expect("the file can be written");
-}
-
-/// Returns the path of the preloaded library, which the build puts beside the test's binary.
-fn suspension_library() -> PathBuf {
-    let own = std::env::current_exe().expect("a process has a file");
-    let library = own.with_file_name(SUSPENSION_LIBRARY);
-    assert!(library.exists(), "the test does not depend on the library");
-    library
-}
-
 /// Returns the value of a field of a process's state, as the system shows it.
 fn field<'a>(state: &'a str, name: &str) -> Option<&'a str> {
     let value = state.lines().find_map(|line| line.strip_prefix(name));
