Gateway: an answer that another gateway passes on ends at its deadline

Cause: the gateway that the caller had reached bounded the wait for the head of the answer; the body was passed on without a limit, since the other gateway ends streams at their deadline. One that hangs does not.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -56,7 +56,7 @@
 use crate::team_usage::TeamUsage;
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 
 /// Idle timeout of callers' connections while there is no route table to set it.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
--- a/crates/gateway/src/gateway/tests.rs
+++ b/crates/gateway/src/gateway/tests.rs
@@ -60,7 +60,8 @@
     }
 }
 
-fn shared(max_connections: u32) -> Arc<Shared> {
+/// Returns the state of a gateway without control, with a limit of open connections.
+pub(crate) fn shared(max_connections: u32) -> Arc<Shared> {
     let registry = Registry::new();
     let retry_budget_rules = RetryBudgetRules {
         retry_permille: 200,
--- a/crates/gateway/src/handoff.rs
+++ b/crates/gateway/src/handoff.rs
@@ -23,7 +23,7 @@
 use hyper::body::Incoming;
 use smallvec::SmallVec;
 use tokio::io::AsyncWriteExt;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, Sleep, sleep_until, timeout, timeout_at};
 
 use crate::attempt::{ExchangeOutcome, OutgoingRequest, exchange};
 use crate::body::{AnswerBody, BrokenOff};
@@ -33,6 +33,9 @@
 use crate::read_guard::UnusedBytes;
 use crate::refusal::Refusal;
 
+#[cfg(test)]
+mod tests;
+
 /// Header with the number of the sender's route table; a gateway accepts a request only if it has the same table.
 pub(crate) const TABLE_HEADER: HeaderName = HeaderName::from_static("hinge-table");
 
@@ -48,6 +51,10 @@
 /// Idle connections kept to each gateway; few, because requests are spread over many gateways.
 const MAX_IDLE: usize = 8;
 
+/// Time after its deadline at which an answer is broken off here. The other gateway breaks off a stream earlier, so this is for one that
+/// hangs or is out of reach.
+const DEADLINE_GRACE: Duration = Duration::from_millis(200);
+
 /// Timeout for connecting within a data centre.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -189,6 +196,20 @@
     address: SocketAddr,
 }
 
+impl PeerUse {
+    /// Records that an answer from the gateway did not end in time.
+    fn record_timeout(&self) {
+        self.shared
+            .handoffs
+            .suspend(self.address, UNREACHABLE_BACKOFF);
+        warn!(
+            Component::Gateway,
+            "An answer that another gateway passes on has not ended in time.",
+            from = self.address
+        );
+    }
+}
+
 impl Drop for PeerUse {
     fn drop(&mut self) {
         self.shared.handoffs.peers().request_ended(self.address);
@@ -199,9 +220,11 @@
 #[derive(Debug)]
 pub(crate) struct HandedOff {
     body: Incoming,
+    /// When the answer is broken off if it has not ended.
+    deadline: Pin<Box<Sleep>>,
     /// Connection to return to its pool once the answer has ended.
     connection: Option<(Arc<Pool>, Sender)>,
-    _in_use: PeerUse,
+    in_use: PeerUse,
 }
 
 impl HandedOff {
@@ -213,6 +236,11 @@
         if matches!(next, Poll::Ready(None)) {
             self.keep();
         }
+        if next.is_pending() && self.deadline.as_mut().poll(cx).is_ready() {
+            self.connection = None;
+            self.in_use.record_timeout();
+            return Poll::Ready(Some(Err(BrokenOff)));
+        }
         next.map(|frame| frame.map(|frame| frame.map_err(|_broken| BrokenOff)))
     }
 
@@ -335,8 +363,9 @@
     }
     let body = HandedOff {
         body,
+        deadline: Box::pin(sleep_until(outgoing.ends_at + DEADLINE_GRACE)),
         connection: is_kept.then_some((pool, sender)),
-        _in_use: in_use,
+        in_use,
     };
     let response = Response::from_parts(head, AnswerBody::HandedOff(body));
     OfferOutcome::Answered(Box::new(response))
