Streams: no endpoint is used that its admission knows to have started again

Cause: the version in the list of endpoints was trusted for a start that had ended since. The admission beside the engine sees the later start in its report, but did not pass that on.

The load that admissions tell, also with each verdict, names the start of the engine now. A gateway that hears of a later start than the one listed treats the listed one as ended: its requests end, and it gets none until control lists the later start.

--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -334,6 +334,7 @@
                 .map(|waiting| self.tokens_to_prefill(&waiting.request))
                 .sum(),
             engine_is_gone: self.engine_is_gone,
+            engine_started_unix_ms: self.engine_started_unix_ms,
         }
     }
 
--- a/crates/admission/src/request.rs
+++ b/crates/admission/src/request.rs
@@ -93,6 +93,8 @@
     pub waiting_tokens: u32,
     /// Whether nothing listens at the engine's address.
     pub engine_is_gone: bool,
+    /// Start time of the engine that reported last, in Unix milliseconds, if it reports one.
+    pub engine_started_unix_ms: Option<u64>,
 }
 
 impl SlotRequest {
--- a/crates/admission/src/server.rs
+++ b/crates/admission/src/server.rs
@@ -389,6 +389,7 @@
         engine_is_gone: load.engine_is_gone.then_some(true),
         warm_up_ms: state.queue.warm_up_left(now).map(millis),
         pace: told_pace(&state.queue, now),
+        engine_born_unix_ms: load.engine_started_unix_ms,
     }
 }
 
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -186,7 +186,8 @@
             return AskOutcome::Unasked;
         };
         endpoint.record_admission_load(&verdict.load);
-        if !verdict.granted && verdict.load.engine_is_gone == Some(true) {
+        let is_gone = !verdict.granted && verdict.load.engine_is_gone == Some(true);
+        if is_gone || endpoint.has_restarted() {
             return AskOutcome::EngineGone;
         }
         if !verdict.granted {
--- a/crates/gateway/src/admission_stream/tests.rs
+++ b/crates/gateway/src/admission_stream/tests.rs
@@ -53,6 +53,7 @@
             engine_is_gone: None,
             warm_up_ms: None,
             pace: None,
+            engine_born_unix_ms: None,
         },
     };
     let mut grant = Grant::new(sent_ask, &verdict, asked_at, LOST_GRACE);
--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -248,6 +248,20 @@
         self.pool.clear();
     }
 
+    /// Returns whether a load is that of a later start of the engine, which may run another software version.
+    ///
+    /// Control lists the later start with its first report, which may take seconds to arrive.
+    fn is_outlived_by(&self, load: &EngineLoad) -> bool {
+        let listed = self.description.born_unix_ms;
+        let is_later = listed.is_some() && load.engine_born_unix_ms > listed;
+        is_later && !self.has_restarted()
+    }
+
+    /// Returns whether the endpoint is known to have restarted, so that its description is of its previous incarnation.
+    pub(crate) fn has_restarted(&self) -> bool {
+        *self.has_restarted.borrow()
+    }
+
     /// Records that the endpoint has restarted: this incarnation takes no new requests, and its open ones end.
     pub(crate) fn record_restart(&self) {
         self.record_ended(Evidence::Replaced);
@@ -454,6 +468,9 @@
 
     /// Records a load report of the admission.
     pub(crate) fn record_admission_load(&self, load: &EngineLoad) {
+        if self.is_outlived_by(load) {
+            self.record_restart();
+        }
         let mut state = self.lock();
         if !load.teams.is_empty() {
             let teams = load.teams.iter();
--- a/crates/gateway/src/endpoint/tests.rs
+++ b/crates/gateway/src/endpoint/tests.rs
@@ -44,6 +44,7 @@
         engine_is_gone: None,
         warm_up_ms: None,
         pace,
+        engine_born_unix_ms: None,
     }
 }
 
