Streams: the admission beside an engine keeps where its streams began

Cause: where a stream began was kept by gateways alone, at the one that served it and at two more; what no gateway knows is refused.

An ask names the stream that its answer would begin, by key, service and software version. The admission keeps it once the first event is passed on, for as long as gateways do, and a gateway that no near gateway could help asks the admissions of the route's services, at most 64, together with the far gateways. What is found names the version, so a stream still goes on only there.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -25,5 +25,5 @@
 pub use queue::AdmissionQueue;
 pub use request::{Decision, Load, QueueLimits, RefusalCause, SlotRequest, SlotRequestId};
 pub use returns::{MAX_PROMISES, Promise, RefusedRequest, ReturnTime, Returns};
-pub use server::{ASKS_PATH, LOAD_PATH, Server};
+pub use server::{ASKS_PATH, FIND_STREAMS_PATH, LOAD_PATH, Server};
 pub use usage::TeamUsage;
--- a/crates/admission/src/server.rs
+++ b/crates/admission/src/server.rs
@@ -6,9 +6,14 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use hinge_link::{ClusterKey, FrameReader, FrameSender, Limits, ServerHandle, serve_exchange};
-use hinge_routing::WarmUpLimits;
-use hinge_schema::routing::{AskLoad, AskWarmUp, EngineLoad, EnginePace, TeamTokens, WarmUp};
+use hinge_link::{
+    ClusterKey, FrameReader, FrameSender, Limits, ServerHandle, serve_call, serve_exchange,
+};
+use hinge_routing::{StreamOrigins, WarmUpLimits};
+use hinge_schema::routing::{
+    AskLoad, AskWarmUp, EngineLoad, EnginePace, FindStreams, FoundStreams, StreamsBegun,
+    TeamTokens, WarmUp,
+};
 use hinge_telemetry::info;
 use hinge_telemetry::log::Component;
 use hinge_telemetry::metrics::Registry;
@@ -29,6 +34,9 @@
 /// Path of the exchange over which a gateway follows the load.
 pub const LOAD_PATH: &str = "/v1/load";
 
+/// Path on which a gateway asks where streams began.
+pub const FIND_STREAMS_PATH: &str = "/v1/streams/find";
+
 /// Interval at which the queue is re-evaluated without other events, so that a late request is refused within a small
 /// fraction of any budget.
 const REEVALUATE_EVERY: Duration = Duration::from_millis(20);
@@ -59,6 +67,8 @@
 #[derive(Debug)]
 pub(crate) struct Shared {
     state: Mutex<State>,
+    /// Where the streams began that this engine began or continued.
+    streams: Mutex<StreamOrigins>,
     changed: watch::Sender<u64>,
     shutdown_signal: watch::Sender<bool>,
     started_at: Instant,
@@ -132,6 +142,23 @@
         self.update(|state, now| state.queue.answer_began(now, id));
     }
 
+    /// Records a stream whose first event a gateway passes on.
+    pub(crate) fn stream_began(&self, stream: &StreamsBegun) {
+        let now = self.started_at.elapsed();
+        self.lock_streams()
+            .record_begun(now, std::slice::from_ref(stream));
+    }
+
+    fn find_streams(&self, query: &FindStreams) -> FoundStreams {
+        let now = self.started_at.elapsed();
+        let begun = self.lock_streams().begun_of(now, &query.streams);
+        FoundStreams { begun }
+    }
+
+    fn lock_streams(&self) -> MutexGuard<'_, StreamOrigins> {
+        self.streams.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Ends slot requests, whether waiting or granted.
     pub(crate) fn end(&self, ids: impl ExactSizeIterator<Item = SlotRequestId>) {
         if ids.len() == 0 {
@@ -180,6 +207,7 @@
                 event_senders: HashMap::new(),
                 next_id: 1,
             }),
+            streams: Mutex::default(),
             changed: watch::Sender::new(0),
             shutdown_signal: watch::Sender::new(false),
             started_at: Instant::now(),
@@ -226,6 +254,7 @@
 fn router(key: &ClusterKey, shared: &Arc<Shared>) -> Router {
     let (slots_key, slots_shared) = (key.clone(), Arc::clone(shared));
     let (load_key, load_shared) = (key.clone(), Arc::clone(shared));
+    let (find_key, find_shared) = (key.clone(), Arc::clone(shared));
     Router::new()
         .post(ASKS_PATH, move |request: Request| {
             let shared = Arc::clone(&slots_shared);
@@ -241,6 +270,13 @@
             });
             async move { response }
         })
+        .post(FIND_STREAMS_PATH, move |request: Request| {
+            let (key, shared) = (find_key.clone(), Arc::clone(&find_shared));
+            async move {
+                let answer = async |query: FindStreams| Ok(shared.find_streams(&query));
+                serve_call(&key, request, answer).await
+            }
+        })
 }
 
 /// Re-evaluates the queue periodically, since waiting requests become late without any event.
--- a/crates/admission/src/session.rs
+++ b/crates/admission/src/session.rs
@@ -6,7 +6,8 @@
 
 use hinge_link::{FrameReader, FrameSender};
 use hinge_schema::routing::{
-    AdmitAsk, AdmitLost, AdmitVerdict, AskNumber, EngineLoad, FromAdmission, ToAdmission,
+    AdmitAsk, AdmitLost, AdmitVerdict, AskNumber, EngineLoad, FromAdmission, StreamsBegun,
+    ToAdmission,
 };
 use hinge_telemetry::info;
 use hinge_telemetry::log::Component;
@@ -47,13 +48,21 @@
 struct GatewaySession {
     shared: Arc<Shared>,
     events: mpsc::UnboundedSender<(Arc<AdmitAsk>, SlotEvent)>,
-    open: HashMap<u64, SlotRequestId>,
+    open: HashMap<u64, OpenRequest>,
+}
+
+/// A slot request that waits or is granted.
+struct OpenRequest {
+    id: SlotRequestId,
+    /// Stream that begins with its first event, if that may continue elsewhere.
+    stream: Option<StreamsBegun>,
 }
 
 impl Drop for GatewaySession {
     fn drop(&mut self) {
         let open = std::mem::take(&mut self.open);
-        self.shared.end(open.into_values());
+        self.shared
+            .end(open.into_values().map(|request| request.id));
     }
 }
 
@@ -62,13 +71,16 @@
         match frame {
             ToAdmission::Ask(request) => self.enqueue(request),
             ToAdmission::Began(AskNumber { number }) => {
-                if let Some(id) = self.open.get(&number) {
-                    self.shared.answer_began(*id);
+                if let Some(request) = self.open.get_mut(&number) {
+                    self.shared.answer_began(request.id);
+                    if let Some(stream) = request.stream.take() {
+                        self.shared.stream_began(&stream);
+                    }
                 }
             }
             ToAdmission::Ended(AskNumber { number }) => {
                 let ended = self.open.remove(&number);
-                self.shared.end(ended.into_iter());
+                self.shared.end(ended.into_iter().map(|request| request.id));
             }
         }
     }
@@ -85,7 +97,8 @@
             let event_sender = event_sender.clone();
             self.shared.enqueue(slot_request, warm_up, event_sender)
         };
-        self.open.insert(number, id);
+        let stream = event_sender.request.stream.clone();
+        self.open.insert(number, OpenRequest { id, stream });
         if is_queued {
             event_sender.send(SlotEvent::Queued);
         }
--- a/crates/admission/tests/server.rs
+++ b/crates/admission/tests/server.rs
@@ -3,10 +3,15 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use hinge_admission::{ASKS_PATH, Engine, EngineReport, QueueLimits, ReportOutcome, Server};
+use hinge_admission::{
+    ASKS_PATH, Engine, EngineReport, FIND_STREAMS_PATH, QueueLimits, ReportOutcome, Server,
+};
 use hinge_cases::async_cases;
 use hinge_link::{Client, ClusterKey, Exchange};
-use hinge_schema::routing::{AdmitAsk, AdmitVerdict, AskNumber, FromAdmission, ToAdmission};
+use hinge_schema::routing::{
+    AdmitAsk, AdmitVerdict, AskNumber, FindStreams, FoundStreams, FromAdmission, StreamsBegun,
+    ToAdmission,
+};
 use hinge_telemetry::metrics::Registry;
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -64,6 +69,36 @@
     bound.expect("a port is free")
 }
 
+fn ask(number: u64, budget_ms: u64) -> AdmitAsk {
+    AdmitAsk {
+        number,
+        request_id: format!("request-{number}").into(),
+        team: "team".into(),
+        rank: 1,
+        prompt_tokens: 900,
+        answer_tokens: 80,
+        shared_key: 0,
+        shared_tokens: 0,
+        budget_ms,
+        elsewhere_tokens: 0,
+        warm_up: None,
+        return_key: None,
+        stream: None,
+    }
+}
+
+/// Asks the admission where streams began.
+async fn find_streams(server: &Server, streams: &[u64]) -> Vec<StreamsBegun> {
+    let address = server.local_address().to_string();
+    let query = FindStreams {
+        streams: streams.to_vec(),
+    };
+    let client = Client::new(key());
+    let found = client.call(&address, FIND_STREAMS_PATH, &query, STEP_TIMEOUT);
+    let found: FoundStreams = found.await.expect("the admission answers");
+    found.begun
+}
+
 /// A gateway with an open exchange.
 struct Gateway {
     exchange: Exchange,
@@ -84,21 +119,7 @@
     }
 
     async fn request_slot(&self, number: u64, budget_ms: u64) {
-        let request = AdmitAsk {
-            number,
-            request_id: format!("request-{number}").into(),
-            team: "team".into(),
-            rank: 1,
-            prompt_tokens: 900,
-            answer_tokens: 80,
-            shared_key: 0,
-            shared_tokens: 0,
-            budget_ms,
-            elsewhere_tokens: 0,
-            warm_up: None,
-            return_key: None,
-        };
-        self.send(ToAdmission::Ask(request)).await;
+        self.send(ToAdmission::Ask(ask(number, budget_ms))).await;
     }
 
     async fn end(&self, number: u64) {
@@ -151,6 +172,22 @@
         assert!(server.stop(STEP_TIMEOUT).await);
         assert_eq!(PANICS.load(Ordering::SeqCst), 0);
     }
+    where_a_stream_began_is_known_once_it_has_begun_also_after_its_gateway_has_ended => {
+        let server = bind(SilentEngine).await;
+        let mut gateway = Gateway::open(&server).await;
+        let stream = StreamsBegun { service: "llm".into(), software_version: "v1".into(), streams: vec![41] };
+        let ask = AdmitAsk { stream: Some(stream.clone()), ..ask(1, 500) };
+        gateway.send(ToAdmission::Ask(ask)).await;
+        assert!(gateway.expect_verdict().await.granted);
+        assert_eq!(find_streams(&server, &[41, 42]).await, []);
+        gateway.send(ToAdmission::Began(AskNumber { number: 1 })).await;
+        while find_streams(&server, &[41, 42]).await != [stream.clone()] {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        drop(gateway);
+        assert_eq!(find_streams(&server, &[41, 42]).await, [stream]);
+        assert!(server.stop(STEP_TIMEOUT).await);
+    }
     a_queued_request_gets_the_slot_of_one_that_ends => {
         let server = bind(SilentEngine).await;
         let mut gateway = Gateway::open(&server).await;
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -52,6 +52,8 @@
 /// A client of the admission beside one endpoint.
 #[derive(Debug)]
 pub(crate) struct AdmissionClient {
+    socket_address: SocketAddr,
+    /// The same as text.
     address: Box<str>,
     access: AdmissionAccess,
     stream: AsyncMutex<Option<Arc<AdmissionStream>>>,
@@ -161,10 +163,10 @@
 
 impl AdmissionClient {
     pub(crate) fn new(endpoint: SocketAddr, access: AdmissionAccess) -> Self {
+        let socket_address = SocketAddr::new(endpoint.ip(), access.port);
         Self {
-            address: SocketAddr::new(endpoint.ip(), access.port)
-                .to_string()
-                .into(),
+            socket_address,
+            address: socket_address.to_string().into(),
             access,
             stream: AsyncMutex::default(),
             bypassed_until: Mutex::default(),
@@ -172,6 +174,10 @@
         }
     }
 
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.socket_address
+    }
+
     /// Requests a slot at the endpoint, and waits for the verdict.
     pub(crate) async fn ask(&self, endpoint: &Endpoint, ask: AdmitAsk) -> AskOutcome {
         let request_id = ask.request_id.clone();
--- a/crates/gateway/src/admission_stream/tests.rs
+++ b/crates/gateway/src/admission_stream/tests.rs
@@ -37,6 +37,7 @@
         elsewhere_tokens: 0,
         warm_up: None,
         return_key: None,
+        stream: None,
     });
     let verdict = AdmitVerdict {
         is_promised: None,
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -9,7 +9,9 @@
     UsageLag, WarmUpLimits, choose_after_refusal, choose_endpoint, choose_kv_source, return_key,
     token_copy_time,
 };
-use hinge_schema::routing::{AdmitAsk, AskWarmUp, Engine, Route, WarmUp};
+use hinge_schema::routing::{
+    AdmitAsk, AskWarmUp, Engine, RequestKind, Route, StreamsBegun, WarmUp,
+};
 use http::StatusCode;
 use smallvec::SmallVec;
 use tokio::time::Instant;
@@ -132,11 +134,26 @@
         })
     }
 
+    /// Returns the key of the stream that the request begins or takes up.
+    fn stream_key(&self) -> Option<StreamKey> {
+        let named = self.resumes.as_ref().or(self.outgoing.request_id.as_ref());
+        named.map(|id| StreamKey::of(self.outgoing.team.as_deref(), id))
+    }
+
+    /// Returns the stream that an endpoint begins or continues, for its admission to keep, if it may continue elsewhere.
+    fn stream_at(&self, endpoint: &Endpoint) -> Option<StreamsBegun> {
+        let is_stream = self.route.kind == RequestKind::Streaming;
+        let origin = self.origin_at(endpoint).filter(|_| is_stream)?;
+        Some(StreamsBegun {
+            service: origin.service.clone(),
+            software_version: origin.software_version.clone(),
+            streams: vec![self.stream_key()?.into()],
+        })
+    }
+
     /// Records that the caller gets the first event of this attempt.
     pub(crate) fn record_begun(&self, history: &History) {
-        let named = self.resumes.as_ref().or(self.outgoing.request_id.as_ref());
-        if let (Some(origin), Some(id)) = (&history.stream_origin, named) {
-            let stream = StreamKey::of(self.outgoing.team.as_deref(), id);
+        if let (Some(origin), Some(stream)) = (&history.stream_origin, self.stream_key()) {
             self.gateway.streams.record_begun(stream, origin);
         }
     }
@@ -368,6 +385,7 @@
                 left_ms: millis(endpoint.warm_up_left()),
             }),
             return_key: self.return_key(prompt),
+            stream: self.stream_at(endpoint),
         };
         tokio::select! {
             biased;
--- a/crates/gateway/src/resumption.rs
+++ b/crates/gateway/src/resumption.rs
@@ -11,6 +11,9 @@
 use crate::stream_directory::Lookup;
 use crate::takeover::MAX_STATE_AGE;
 
+/// Maximum number of admissions that are asked where a stream began; beyond it they are drawn at random.
+const MAX_ASKED_ADMISSIONS: usize = 64;
+
 /// Returns where the stream began, `None` for a request that begins a new one, or why the stream can't continue.
 pub(crate) async fn origin_of(
     gateway: &Shared,
@@ -23,7 +26,7 @@
         return Ok(None);
     }
     let (found, source) = match &facts.resumes {
-        Some(id) => match gateway.streams.find(StreamKey::of(team, id)).await {
+        Some(id) => match find(gateway, route, StreamKey::of(team, id)).await {
             Lookup::Here(origin) => (Ok(origin), "here"),
             Lookup::Elsewhere(origin) => (Ok(origin), "elsewhere"),
             Lookup::Ambiguous => (Err("the stream's id was used twice"), "ambiguous"),
@@ -44,6 +47,14 @@
     }
 }
 
+async fn find(gateway: &Shared, route: &Route, stream: StreamKey) -> Lookup {
+    let admissions = gateway
+        .routing
+        .current()
+        .admissions_of(route, MAX_ASKED_ADMISSIONS);
+    gateway.streams.find(stream, admissions).await
+}
+
 /// Returns where every stream of a route that a caller may still take up must have begun, if that is certain.
 ///
 /// It is only while the route has one service and that service has had one software version for as long as a stream lasts,
--- a/crates/gateway/src/routing_state.rs
+++ b/crates/gateway/src/routing_state.rs
@@ -10,7 +10,8 @@
 use hinge_clock::BootInstant;
 use hinge_routing::{Address, PatchError, RecentPatches, RouteIndex, patch_table};
 use hinge_schema::routing::{
-    EndpointList, EndpointState, EvacuationList, RouteTable, RoutesUpdate, TablePatch, WatchRoutes,
+    EndpointList, EndpointState, EvacuationList, Route, RouteTable, RoutesUpdate, TablePatch,
+    WatchRoutes,
 };
 use hinge_telemetry::log::Component;
 use hinge_telemetry::{info, warn};
@@ -82,6 +83,20 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the addresses of the admissions beside the endpoints of a route's services, also of those that drain, up to a number.
+    pub(crate) fn admissions_of(&self, route: &Route, max: usize) -> Vec<SocketAddr> {
+        let is_target = |service: &str| {
+            let mut targets = route.targets.iter();
+            targets.any(|target| *target.service == *service)
+        };
+        let endpoints = self.by_id.values();
+        let endpoints = endpoints.filter(|endpoint| is_target(&endpoint.description.service));
+        let admissions =
+            endpoints.filter_map(|endpoint| Some(endpoint.admission.as_ref()?.address()));
+        // The order of the map is random.
+        admissions.take(max).collect()
+    }
+
     /// Returns the software version of a service that has only one, and for how long it has been the only one.
     pub(crate) fn only_version(&self, service: &str) -> Option<(&str, Duration)> {
         let only = self.only_versions.get(service)?;
--- a/crates/gateway/src/stream_directory.rs
+++ b/crates/gateway/src/stream_directory.rs
@@ -3,15 +3,18 @@
 //! A caller takes a stream up because the gateway that served it has ended or is cut off, so what that gateway knows is
 //! copied to another one of its data centre and to one elsewhere. Copies are made after the event has been passed on: a
 //! stream whose origin is lost with its gateway is refused and does not continue at a guessed version.
+//!
+//! When most gateways end together, the copies end with them. The admission beside a model engine keeps the origins of the
+//! streams that the engine began as well, on another machine than any gateway.
 
 mod copies;
 mod queries;
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use hinge_admission::FIND_STREAMS_PATH;
 use hinge_clock::BootInstant;
 use hinge_link::{Client, ClusterKey, serve_call, serve_exchange};
 use hinge_routing::{Known, PeerList, StreamKey, StreamOrigin, StreamOrigins};
@@ -26,9 +29,6 @@
 /// Path of the exchange over which a gateway sends copies of origins.
 const RECORD_PATH: &str = "/v1/streams/record";
 
-/// Path on which a gateway looks up origins for another one.
-const FIND_PATH: &str = "/v1/streams/find";
-
 /// Timeout of a query for the origin of a stream; its caller waits for the next event meanwhile.
 const FIND_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -51,6 +51,8 @@
 #[derive(Debug)]
 struct Query {
     stream: StreamKey,
+    /// Addresses of the admissions beside the engines that may have begun it.
+    admissions: Vec<SocketAddr>,
     answer: oneshot::Sender<Known>,
 }
 
@@ -125,32 +127,29 @@
     /// Records origins that another gateway sent.
     fn record_copies(&self, copies: &[StreamsBegun]) {
         let now = self.began.elapsed();
-        let mut origins = lock(&self.origins);
         for copy in copies {
             self.copies_received.inc_by(copy.streams.len() as u64);
-            let origin = Arc::new(StreamOrigin {
-                service: copy.service.clone(),
-                software_version: copy.software_version.clone(),
-            });
-            for stream in &copy.streams {
-                origins.record(now, StreamKey::from(*stream), &origin);
-            }
         }
+        lock(&self.origins).record_begun(now, copies);
     }
 
     fn known(&self, stream: StreamKey) -> Known {
         lock(&self.origins).find(self.began.elapsed(), stream)
     }
 
-    /// Returns where a stream began, and asks the other gateways if this one does not know.
-    pub(crate) async fn find(&self, stream: StreamKey) -> Lookup {
+    /// Returns where a stream began, and asks the other gateways and some admissions if this one does not know.
+    pub(crate) async fn find(&self, stream: StreamKey, admissions: Vec<SocketAddr>) -> Lookup {
         match self.known(stream) {
             Known::At(origin) => return Lookup::Here(origin),
             Known::Ambiguous => return Lookup::Ambiguous,
             Known::Nothing => {}
         }
         let (answer, answered) = oneshot::channel();
-        lock(&self.queries).push(Query { stream, answer });
+        lock(&self.queries).push(Query {
+            stream,
+            admissions,
+            answer,
+        });
         self.query_added.notify_one();
         match timeout(FIND_TIMEOUT, answered).await {
             Ok(Ok(Known::At(origin))) => Lookup::Elsewhere(origin),
@@ -161,14 +160,7 @@
 
     /// Returns the known ones of some streams.
     fn known_of(&self, streams: &[u64]) -> Vec<StreamsBegun> {
-        let known = streams.iter().filter_map(|stream| {
-            let stream = StreamKey::from(*stream);
-            match self.known(stream) {
-                Known::At(origin) => Some((stream, origin)),
-                Known::Ambiguous | Known::Nothing => None,
-            }
-        });
-        by_origin(known)
+        lock(&self.origins).begun_of(self.began.elapsed(), streams)
     }
 }
 
@@ -176,23 +168,6 @@
     addresses.iter().filter_map(|text| text.parse().ok())
 }
 
-/// Groups streams by their origins, each of which is then sent once.
-fn by_origin(
-    streams: impl IntoIterator<Item = (StreamKey, Arc<StreamOrigin>)>,
-) -> Vec<StreamsBegun> {
-    let mut grouped: BTreeMap<Arc<StreamOrigin>, Vec<u64>> = BTreeMap::new();
-    for (stream, origin) in streams {
-        grouped.entry(origin).or_default().push(stream.into());
-    }
-    let grouped = grouped.into_iter();
-    let begun = grouped.map(|(origin, streams)| StreamsBegun {
-        service: origin.service.clone(),
-        software_version: origin.software_version.clone(),
-        streams,
-    });
-    begun.collect()
-}
-
 /// Spawns the tasks that copy origins to other gateways and query them; dropping the set ends them.
 pub(crate) fn spawn(
     directory: &Arc<StreamDirectory>,
@@ -232,7 +207,9 @@
             serve_call(&key, request, answer).await
         }
     };
-    router.post(RECORD_PATH, record).post(FIND_PATH, find)
+    router
+        .post(RECORD_PATH, record)
+        .post(FIND_STREAMS_PATH, find)
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/crates/gateway/src/stream_directory/copies.rs
+++ b/crates/gateway/src/stream_directory/copies.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use hinge_link::{Client, Exchange};
-use hinge_routing::PeerList;
+use hinge_routing::{PeerList, by_origin};
 use hinge_schema::routing::RecordStreams;
 use tokio::time::sleep;
 
-use super::{Peers, RECORD_PATH, StreamDirectory, by_origin, lock};
+use super::{Peers, RECORD_PATH, StreamDirectory, lock};
 
 /// Delay that lets many streams share a message; those that began within it are lost with their gateway.
 const BATCH_DELAY: Duration = Duration::from_millis(20);
--- a/crates/gateway/src/stream_directory/queries.rs
+++ b/crates/gateway/src/stream_directory/queries.rs
@@ -1,5 +1,6 @@
-//! Asks other gateways where streams began.
+//! Asks other gateways and admissions where streams began.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,7 +12,7 @@
 use hinge_schema::routing::{FindStreams, FoundStreams};
 use tokio::time::sleep;
 
-use super::{FIND_PATH, Query, StreamDirectory, lock};
+use super::{FIND_STREAMS_PATH, Query, StreamDirectory, lock};
 
 /// Delay that lets many queries share a message: all streams of a gateway are taken up at once when it ends.
 const GATHER_DELAY: Duration = Duration::from_millis(5);
@@ -30,7 +31,7 @@
     }
 }
 
-/// Asks the gateways of this data centre, and those of others about the streams that are still not known.
+/// Asks the gateways of this data centre, and those of others and the admissions about the streams that are still not known.
 async fn answer(directory: &StreamDirectory, client: &Client, queries: Vec<Query>) {
     let (near, far): (Vec<SocketAddr>, Vec<SocketAddr>) = {
         let peers = lock(&directory.peers);
@@ -39,17 +40,21 @@
             peers.far.addresses().collect(),
         )
     };
-    let mut queries = queries;
-    for peers in [near, far] {
-        queries = ask(directory, client, &peers, queries).await;
-    }
+    let mut queries = ask(directory, client, &near, queries).await;
+    let admissions: BTreeSet<SocketAddr> = queries
+        .iter()
+        .flat_map(|query| &query.admissions)
+        .copied()
+        .collect();
+    let elsewhere: Vec<SocketAddr> = far.into_iter().chain(admissions).collect();
+    queries = ask(directory, client, &elsewhere, queries).await;
     for query in queries {
         // A caller that no longer waits needs no answer.
         let _caller_left = query.answer.send(Known::Nothing);
     }
 }
 
-/// Asks some gateways concurrently, and returns the queries that none of them answered.
+/// Asks some processes concurrently, and returns the queries that none of them answered.
 async fn ask(
     directory: &StreamDirectory,
     client: &Client,
@@ -64,8 +69,8 @@
     let calls = peers.iter().map(|address| {
         let (address, message) = (address.to_string(), &message);
         async move {
-            let called = client.call(&address, FIND_PATH, message, CALL_TIMEOUT);
-            // A gateway that does not answer may be the one that has ended.
+            let called = client.call(&address, FIND_STREAMS_PATH, message, CALL_TIMEOUT);
+            // A process that does not answer may be the one that has ended.
             let found: Option<FoundStreams> = called.await.ok();
             found
         }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -80,7 +80,7 @@
 pub use retry_budget::{RetryBudget, RetryBudgetRules};
 pub use return_key::return_key;
 pub use route_index::RouteIndex;
-pub use stream_origins::{Known, StreamKey, StreamOrigin, StreamOrigins};
+pub use stream_origins::{Known, StreamKey, StreamOrigin, StreamOrigins, by_origin};
 pub use suspects::Suspects;
 pub use table_bytes::table_bytes;
 pub use table_patch::{
--- a/crates/routing/src/stream_origins.rs
+++ b/crates/routing/src/stream_origins.rs
@@ -3,10 +3,11 @@
 //! The outputs of two software versions don't fit together, so a stream may only continue at the version that
 //! began it. Its caller names the attempt that brought the first event, and may do so at any gateway.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
+use hinge_schema::routing::StreamsBegun;
 use sha2::{Digest, Sha256};
 
 /// Minimum time for which an origin is kept; callers give a stream up before.
@@ -59,6 +60,22 @@
     pub software_version: Box<str>,
 }
 
+/// Groups streams by their origins, each of which is then sent once.
+pub fn by_origin(
+    streams: impl IntoIterator<Item = (StreamKey, Arc<StreamOrigin>)>,
+) -> Vec<StreamsBegun> {
+    let mut grouped: BTreeMap<Arc<StreamOrigin>, Vec<u64>> = BTreeMap::new();
+    for (stream, origin) in streams {
+        grouped.entry(origin).or_default().push(stream.into());
+    }
+    let begun = grouped.into_iter().map(|(origin, streams)| StreamsBegun {
+        service: origin.service.clone(),
+        software_version: origin.software_version.clone(),
+        streams,
+    });
+    begun.collect()
+}
+
 /// What is known of where a stream began.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Known {
@@ -111,6 +128,32 @@
         }
     }
 
+    /// Records the origins that another process sent.
+    pub fn record_begun(&mut self, now: Duration, begun: &[StreamsBegun]) {
+        for begun in begun {
+            let origin = Arc::new(StreamOrigin {
+                service: begun.service.clone(),
+                software_version: begun.software_version.clone(),
+            });
+            for stream in &begun.streams {
+                self.record(now, StreamKey::from(*stream), &origin);
+            }
+        }
+    }
+
+    /// Returns the origins of those streams whose origin is known.
+    #[must_use]
+    pub fn begun_of(&self, now: Duration, streams: &[u64]) -> Vec<StreamsBegun> {
+        let known = streams.iter().filter_map(|stream| {
+            let stream = StreamKey::from(*stream);
+            match self.find(now, stream) {
+                Known::At(origin) => Some((stream, origin)),
+                Known::Ambiguous | Known::Nothing => None,
+            }
+        });
+        by_origin(known)
+    }
+
     /// Drops the origins that have been kept for long enough.
     fn rotate(&mut self, now: Duration) {
         if now < self.rotated_at + KEEP_FOR {
