Gateway: an answer that a leaving endpoint finishes is whole

Cause: at the end of such an answer the gateway opens a connection to tell a crash from an end, and a refused one counted as a crash. An endpoint that stops as planned closes its listener first and then sends its last answers.

A refusal says nothing about an endpoint that is known to leave.

--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -678,8 +678,11 @@
     }
 
     /// Returns whether nothing listens at the endpoint's address, so that its crash has ended the answer.
+    ///
+    /// An endpoint that stops as planned closes its listener before it has sent its last answers.
     pub(crate) async fn is_endpoint_gone(&self) -> bool {
-        self.endpoint.accepts_connection().await == Some(false)
+        let is_leaving = self.endpoint.lock_crashes().is_leaving();
+        !is_leaving && self.endpoint.accepts_connection().await == Some(false)
     }
 
     /// Records that the answer ended with its connection, so that a crash of the endpoint may have cut it off.
--- a/crates/routing/src/crashes.rs
+++ b/crates/routing/src/crashes.rs
@@ -74,6 +74,12 @@
         self.broken.retain(|(_, request)| !is_unrelated(request));
     }
 
+    /// Returns whether the endpoint stops as planned.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving
+    }
+
     /// Records that the endpoint stops as planned, so that no request is blamed for its end.
     pub fn record_planned_stop(&mut self) {
         self.is_leaving = true;
