Gateway: waits for the listener of an ended endpoint to close before it probes it

Cause: the system closes the sockets of a process that has ended one by one, its listener often last. The probe that tells a crash from an end came at once and was accepted.

The probe waits 50 ms; only the end of such an answer is held up, its events are passed on as before. A gateway that is itself stopped between the end of an answer and the next start of the endpoint still takes that start for the former one.

--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -36,6 +36,9 @@
 /// Time after which an endpoint's crash at the end of an answer would be known.
 const SETTLE_TIME: Duration = Duration::from_secs(1);
 
+/// Time in which the system closes the sockets of a process that has ended, its listener often last.
+const CLOSE_TIME: Duration = Duration::from_millis(50);
+
 /// Time in which a running endpoint accepts a connection; an answer is held up for as long at its end.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -681,8 +684,11 @@
     ///
     /// An endpoint that stops as planned closes its listener before it has sent its last answers.
     pub(crate) async fn is_endpoint_gone(&self) -> bool {
-        let is_leaving = self.endpoint.lock_crashes().is_leaving();
-        !is_leaving && self.endpoint.accepts_connection().await == Some(false)
+        if self.endpoint.lock_crashes().is_leaving() {
+            return false;
+        }
+        sleep(CLOSE_TIME).await;
+        self.endpoint.accepts_connection().await == Some(false)
     }
 
     /// Records that the answer ended with its connection, so that a crash of the endpoint may have cut it off.
