Gateway: long bodies wait until there is memory for them

Cause: each body was collected whole, and copied once more, before anything was limited, and no limit counted bytes.

Bodies of more than 64 KiB share 16 MiB now, each until its request has ended. The next one is not read before, so its caller's connection holds it back; one that gets no memory until its deadline is refused as not run. One without a length counts as long once it is. A body that declares more than the limit is refused before it is read.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hinge_link::HeldBudget;
 use hinge_routing::RequestKey;
 use http::header::CONTENT_ENCODING;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
@@ -27,6 +28,8 @@
     /// Headers of the caller, without hop-by-hop headers.
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// The body's part of the memory for long ones.
+    pub(crate) _held_body: Option<HeldBudget>,
     pub(crate) request_id: Option<Box<str>>,
     pub(crate) team: Option<Box<str>>,
     /// Ids of the prompt's parts, without the last one, which is specific to the request.
--- a/crates/gateway/src/gateway/tests.rs
+++ b/crates/gateway/src/gateway/tests.rs
@@ -88,6 +88,7 @@
         handoffs: Handoffs::new(key()),
         gateway_count: GatewayCount::default(),
         streams: Arc::new(StreamDirectory::register(&registry)),
+        long_bodies: hinge_link::ByteBudget::new(0),
         began: BootInstant::now(),
     })
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod prepared_refusal;
 mod read_guard;
 mod refusal;
+mod request_body;
 mod resumption;
 mod routing_state;
 mod serve;
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -29,6 +29,8 @@
     TooLong,
     /// The body did not arrive whole.
     BadBody,
+    /// Its body is long, and other long ones have used up the memory for them until its deadline; it did not run.
+    NoMemory,
     /// No endpoint could take it; it did not run.
     NotRun {
         /// Delay after which capacity is expected.
@@ -63,6 +65,7 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoTeam => StatusCode::UNAUTHORIZED,
             Self::NoTable
+            | Self::NoMemory
             | Self::NotRun { .. }
             | Self::Held
             | Self::HeldPart
@@ -83,6 +86,7 @@
             Self::NoTable => "no_table",
             Self::TooLong => "body_too_long",
             Self::BadBody => "bad_body",
+            Self::NoMemory => "no_memory",
             Self::NotRun { .. } => "not_run",
             Self::Held => "held",
             Self::HeldPart => "held_part",
@@ -100,6 +104,9 @@
             Self::NoTable => "This instance has no configuration yet; the request did not run.\n",
             Self::TooLong => "The body is too long.\n",
             Self::BadBody => "The body did not arrive whole.\n",
+            Self::NoMemory => {
+                "This instance has too many long requests; the request did not run.\n"
+            }
             Self::NotRun { .. } => "No endpoint could take the request; it did not run.\n",
             Self::Held => {
                 "Endpoints ended while they worked on this request before; it did not run.\n"
@@ -126,7 +133,7 @@
         let retry_after = match self {
             Self::NotRun { retry_after } => Some(retry_after),
             Self::NoTable => Some(Duration::from_secs(1)),
-            Self::Overloaded(_) => Some(NO_ROOM_RETRY),
+            Self::Overloaded(_) | Self::NoMemory => Some(NO_ROOM_RETRY),
             Self::Held | Self::HeldPart => Some(HELD_RETRY),
             _ => None,
         };
--- /dev/null
+++ b/crates/gateway/src/request_body/tests.rs
@@ -0,0 +1,97 @@
+//! Checks that long bodies wait for memory, and short ones don't.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use futures::stream;
+use hinge_cases::async_cases;
+use hinge_link::ByteBudget;
+use http_body::{Body, Frame};
+use http_body_util::{Full, StreamBody};
+use tokio::time::{Instant, sleep};
+
+use super::{MAX_LONG_BODY_BYTES, RequestBody, SHORT_BODY_BYTES, read};
+use crate::refusal::Refusal;
+
+/// Longest body that is allowed.
+const MAX_BYTES: usize = 4 << 20;
+
+/// Length of the pieces in which a body without a length arrives.
+const PIECE_BYTES: usize = 16 << 10;
+
+const LEFT: Duration = Duration::from_secs(8);
+
+async fn read_whole(budget: &ByteBudget, length: usize) -> Result<RequestBody, Refusal> {
+    let body = Full::new(Bytes::from(vec![b'u'; length]));
+    read(budget, MAX_BYTES as u64, body, Instant::now() + LEFT).await
+}
+
+/// Returns a body without a length, and counts what was read of it.
+fn in_pieces(
+    length: usize,
+    read_bytes: &Arc<AtomicUsize>,
+) -> impl Body<Data = Bytes, Error = Infallible> + Unpin {
+    let read_bytes = Arc::clone(read_bytes);
+    let pieces = stream::iter(0..length / PIECE_BYTES).map(move |_| {
+        read_bytes.fetch_add(PIECE_BYTES, Ordering::Relaxed);
+        Ok(Frame::data(Bytes::from(vec![b'u'; PIECE_BYTES])))
+    });
+    StreamBody::new(pieces)
+}
+
+async_cases! {
+    // Guards against a gateway that collects many long bodies at once and ends for want of memory.
+    long_bodies_beyond_the_memory_for_them_wait => {
+        let budget = ByteBudget::new(MAX_LONG_BODY_BYTES);
+        let mut running = Vec::new();
+        for _ in 0..MAX_LONG_BODY_BYTES / MAX_BYTES {
+            running.push(read_whole(&budget, MAX_BYTES).await.expect("there is memory for it"));
+        }
+        let began_at = Instant::now();
+        let waiting = async {
+            let body = read_whole(&budget, MAX_BYTES).await;
+            (body.expect("it is read once another request has ended"), began_at.elapsed())
+        };
+        let ((next, waited), ()) = tokio::join!(waiting, async {
+            sleep(Duration::from_secs(1)).await;
+            running.pop();
+        });
+        assert_eq!((next.bytes.len(), waited), (MAX_BYTES, Duration::from_secs(1)));
+    }
+    a_long_body_that_gets_no_memory_until_its_deadline_is_refused => {
+        let budget = ByteBudget::new(MAX_LONG_BODY_BYTES);
+        let _held = budget.acquire(MAX_LONG_BODY_BYTES).await;
+        let began_at = Instant::now();
+        assert!(matches!(read_whole(&budget, MAX_BYTES).await, Err(Refusal::NoMemory)));
+        assert_eq!(began_at.elapsed(), LEFT);
+    }
+    a_short_body_does_not_wait => {
+        let budget = ByteBudget::new(MAX_LONG_BODY_BYTES);
+        let _held = budget.acquire(MAX_LONG_BODY_BYTES).await;
+        let began_at = Instant::now();
+        let body = read_whole(&budget, SHORT_BODY_BYTES).await.expect("it is read");
+        assert_eq!((body.bytes.len(), body.held.is_none()), (SHORT_BODY_BYTES, true));
+        assert_eq!(began_at.elapsed(), Duration::ZERO);
+    }
+    a_body_without_a_length_waits_once_it_is_long => {
+        let budget = ByteBudget::new(MAX_LONG_BODY_BYTES);
+        let _held = budget.acquire(MAX_LONG_BODY_BYTES).await;
+        let read_bytes = Arc::new(AtomicUsize::new(0));
+        let body = in_pieces(MAX_BYTES, &read_bytes);
+        let refused = read(&budget, MAX_BYTES as u64, body, Instant::now() + LEFT).await;
+        assert!(matches!(refused, Err(Refusal::NoMemory)));
+        assert_eq!(read_bytes.load(Ordering::Relaxed), SHORT_BODY_BYTES + PIECE_BYTES);
+    }
+    a_body_beyond_the_limit_is_refused_at_once => {
+        let budget = ByteBudget::new(MAX_LONG_BODY_BYTES);
+        assert!(matches!(read_whole(&budget, MAX_BYTES + 1).await, Err(Refusal::TooLong)));
+        let read_bytes = Arc::default();
+        let body = in_pieces(MAX_BYTES + PIECE_BYTES, &read_bytes);
+        let refused = read(&budget, MAX_BYTES as u64, body, Instant::now() + LEFT).await;
+        assert!(matches!(refused, Err(Refusal::TooLong)));
+    }
+}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -3,7 +3,6 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use bytes::Bytes;
 use hinge_routing::{Homes, Overloaded, RequestKey, RouteIndex, StreamOrigin};
 use hinge_schema::routing::{Engine, RequestKind, Route, WarmUp};
 use hinge_telemetry::info;
@@ -11,10 +10,9 @@
 use http::header::{CONNECTION, CONTENT_TYPE, HOST};
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use smallvec::SmallVec;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 use crate::answer::{ReadError, is_read_whole, read_whole};
 use crate::attempt::{Answer, OutgoingRequest, part_ids};
@@ -27,6 +25,7 @@
 use crate::job::{Job, JobOutcome};
 use crate::overload::RunningRequest;
 use crate::refusal::Refusal;
+use crate::request_body::{self, RequestBody};
 use crate::resumption::origin_of;
 use crate::routing_state::RoutingSnapshot;
 use crate::streaming;
@@ -93,7 +92,8 @@
         Err(refusal) => return refuse_early(&gateway, table_number, &facts, &parts, refusal),
     };
     let ends_at = arrived + time_limit(&route, &facts);
-    let body = match read_body(max_body_bytes, body, ends_at).await {
+    let read = request_body::read(&gateway.long_bodies, max_body_bytes, body, ends_at);
+    let body = match read.await {
         Ok(body) => body,
         Err(refusal) => return refuse_early(&gateway, table_number, &facts, &parts, refusal),
     };
@@ -320,19 +320,9 @@
     Some(host.split(':').next().unwrap_or(host))
 }
 
-async fn read_body(max_bytes: u64, body: Incoming, ends_at: Instant) -> Result<Bytes, Refusal> {
-    let limit = usize::try_from(max_bytes).unwrap_or(usize::MAX);
-    let whole = timeout_at(ends_at, Limited::new(body, limit).collect()).await;
-    match whole {
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(Refusal::TooLong),
-        Ok(Err(_)) | Err(_) => Err(Refusal::BadBody),
-    }
-}
-
 fn outgoing(
     parts: Parts,
-    body: Bytes,
+    body: RequestBody,
     facts: &RequestFacts,
     team: Option<Box<str>>,
     ends_at: Instant,
@@ -346,7 +336,8 @@
         method: parts.method,
         uri: origin_form(&parts.uri),
         headers,
-        body,
+        body: body.bytes,
+        _held_body: body.held,
         request_id: facts.request_id.clone(),
         team,
         shared_parts: facts.prompt.as_ref().map_or_else(SmallVec::new, |prompt| {
