Gateway: deadlines and confirmations take suspensions into account

An answer of control that had arrived before a suspension counted as one of the moment in which it was read, so that a list of seconds ago passed for confirmed.

An answer that took longer than any call may take confirms nothing.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -3,7 +3,8 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use tokio::time::{Instant, timeout_at};
+
+use crate::deadline::{Deadline, DeadlinePassed};
 
 /// Largest answer that is buffered whole, in bytes; longer ones are streamed.
 pub(crate) const MAX_WHOLE_BYTES: u64 = 64 * 1024;
@@ -23,11 +24,11 @@
 }
 
 /// Reads an answer to its end.
-pub(crate) async fn read_whole(mut body: Incoming, ends_at: Instant) -> Result<Bytes, ReadError> {
+pub(crate) async fn read_whole(mut body: Incoming, ends_at: Deadline) -> Result<Bytes, ReadError> {
     let mut whole = BytesMut::new();
     loop {
-        match timeout_at(ends_at, body.frame()).await {
-            Err(_elapsed) => return Err(ReadError::TimedOut),
+        match ends_at.limit(body.frame()).await {
+            Err(DeadlinePassed) => return Err(ReadError::TimedOut),
             Ok(None) => return Ok(whole.freeze()),
             Ok(Some(Err(_broken))) => return Err(ReadError::Broken),
             Ok(Some(Ok(frame))) => {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -12,9 +12,9 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use smallvec::SmallVec;
-use tokio::time::{Instant, timeout_at};
 
 use crate::admission::Grant;
+use crate::deadline::{Deadline, DeadlinePassed};
 use crate::dialect::{Dialect, Disposition, ForwardFacts};
 use crate::endpoint::{Endpoint, EndpointUse};
 use crate::headers;
@@ -39,7 +39,7 @@
     /// Whether the request may run again when its answer is lost.
     pub(crate) may_rerun: bool,
     /// The earlier of the caller's deadline and the route's timeout.
-    pub(crate) ends_at: Instant,
+    pub(crate) ends_at: Deadline,
     /// Computed on first use.
     pub(crate) key: OnceLock<RequestKey>,
     /// Ids of held prompt parts that are tried with this request, which then runs at one endpoint only.
@@ -130,11 +130,10 @@
     let is_kept = kept.is_some();
     let sender = match kept {
         Some(sender) => sender,
-        None => match timeout_at(
-            outgoing.ends_at,
-            pool::connect(endpoint.description.address),
-        )
-        .await
+        None => match outgoing
+            .ends_at
+            .limit(pool::connect(endpoint.description.address))
+            .await
         {
             Ok(Ok(sender)) => sender,
             Ok(Err(cause)) => {
@@ -142,7 +141,7 @@
                 in_use.record_failure(&cause.to_string());
                 return AttemptOutcome::NotSent;
             }
-            Err(_elapsed) => return AttemptOutcome::NotSent,
+            Err(DeadlinePassed) => return AttemptOutcome::NotSent,
         },
     };
     // Connecting may have taken long.
@@ -154,7 +153,7 @@
     in_use.record_sent();
     let sent = tokio::select! {
         biased;
-        sent = timeout_at(outgoing.ends_at, exchange(sender, request)) => sent,
+        sent = outgoing.ends_at.limit(exchange(sender, request)) => sent,
         cause = in_use.wait_until_lost(outgoing.may_rerun) => {
             in_use.record_broken(outgoing);
             in_use.record_failure(cause);
@@ -162,7 +161,7 @@
         }
     };
     let (sender, response) = match sent {
-        Err(_elapsed) => {
+        Err(DeadlinePassed) => {
             return AttemptOutcome::TimedOut;
         }
         Ok(ExchangeOutcome::Answered(sender, response)) => (sender, response),
@@ -196,7 +195,7 @@
     let forward = ForwardFacts {
         endpoint: &endpoint.description.id,
         team: outgoing.team.as_deref(),
-        remaining: outgoing.ends_at.saturating_duration_since(Instant::now()),
+        remaining: outgoing.ends_at.left(),
         last_event,
         fetch_from,
     };
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -6,6 +6,7 @@
 
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
+use hinge_clock::BootInstant;
 use hinge_control::WATCH_ROUTES_PATH;
 use hinge_link::Client;
 use hinge_routing::{Address, ControlInstances};
@@ -21,6 +22,9 @@
 use crate::routing_state::RoutingState;
 use crate::units::millis;
 
+#[cfg(test)]
+mod tests;
+
 /// Longest wait of one long poll. An answer without changes shows that the control instance still knows a leader, so this bounds
 /// how long a gateway follows an instance that has lost contact with the leader.
 const WATCH_WAIT: Duration = Duration::from_millis(600);
@@ -82,7 +86,11 @@
         let without = routing.age();
         gauges.set(without, routing.current().table_number());
         match queried {
-            Ok((address, update)) => {
+            Ok(Answered {
+                address,
+                update,
+                took,
+            }) => {
                 if !was_followed {
                     info!(
                         Component::Gateway,
@@ -97,8 +105,10 @@
                     .store(Arc::new(targets.known().to_vec()));
                 peer_updates.set_addresses(update.gateways.clone());
                 let has_table = routing.apply(update);
-                routing.confirm();
-                readiness.clear(Reason::Outdated);
+                if proves_current(took) {
+                    routing.confirm();
+                    readiness.clear(Reason::Outdated);
+                }
                 if has_table {
                     readiness.clear(Reason::NoConfig);
                 } else {
@@ -147,12 +157,28 @@
     }
 }
 
-/// Queries several instances concurrently, and returns the first answer with its address, or the last failure.
+/// The first answer of the queried instances.
+struct Answered {
+    address: Address,
+    update: RoutesUpdate,
+    /// Time from the query to the answer, with suspensions.
+    took: Duration,
+}
+
+/// Returns whether an answer shows that the state was current just now.
+///
+/// One that took longer than any call may take arrived while this process was stopped or its machine was suspended.
+fn proves_current(took: Duration) -> bool {
+    took <= WATCH_WAIT + CALL_MARGIN
+}
+
+/// Queries several instances concurrently, and returns the first answer, or the last failure.
 async fn query_any(
     client: &Client,
     query: &WatchRoutes,
     addresses: &[Address],
-) -> Result<(Address, RoutesUpdate), String> {
+) -> Result<Answered, String> {
+    let queried_at = BootInstant::now();
     let queries = addresses.iter().map(|address| async move {
         let answered = client.call(address, WATCH_ROUTES_PATH, query, WATCH_WAIT + CALL_MARGIN);
         (address.clone(), answered.await)
@@ -161,7 +187,13 @@
     let mut last = "no control instance is known".to_owned();
     while let Some((address, answered)) = queries.next().await {
         match answered {
-            Ok(update) => return Ok((address, update)),
+            Ok(update) => {
+                return Ok(Answered {
+                    address,
+                    update,
+                    took: queried_at.elapsed(),
+                });
+            }
             Err(cause) => last = format!("{address}: {cause}"),
         }
     }
--- a/crates/gateway/src/handoff.rs
+++ b/crates/gateway/src/handoff.rs
@@ -23,10 +23,11 @@
 use hyper::body::Incoming;
 use smallvec::SmallVec;
 use tokio::io::AsyncWriteExt;
-use tokio::time::{Instant, Sleep, sleep_until, timeout, timeout_at};
+use tokio::time::timeout;
 
 use crate::attempt::{ExchangeOutcome, OutgoingRequest, exchange};
 use crate::body::{AnswerBody, BrokenOff};
+use crate::deadline::{DeadlinePassed, DeadlineTimer};
 use crate::gateway::Shared;
 use crate::headers::{closes_connection, strip_hop_by_hop};
 use crate::pool::{self, Pool, Sender};
@@ -221,7 +222,7 @@
 pub(crate) struct HandedOff {
     body: Incoming,
     /// When the answer is broken off if it has not ended.
-    deadline: Pin<Box<Sleep>>,
+    deadline: DeadlineTimer,
     /// Connection to return to its pool once the answer has ended.
     connection: Option<(Arc<Pool>, Sender)>,
     in_use: PeerUse,
@@ -236,7 +237,7 @@
         if matches!(next, Poll::Ready(None)) {
             self.keep();
         }
-        if next.is_pending() && self.deadline.as_mut().poll(cx).is_ready() {
+        if next.is_pending() && Pin::new(&mut self.deadline).poll(cx).is_ready() {
             self.connection = None;
             self.in_use.record_timeout();
             return Poll::Ready(Some(Err(BrokenOff)));
@@ -343,12 +344,12 @@
         return OfferOutcome::Unreachable;
     };
     let request = request(&shared, table, outgoing);
-    let sent = timeout_at(outgoing.ends_at, exchange(sender, request)).await;
+    let sent = outgoing.ends_at.limit(exchange(sender, request)).await;
     let (sender, response) = match sent {
         Ok(ExchangeOutcome::Answered(sender, response)) => (sender, response),
         Ok(ExchangeOutcome::NotSent) => return OfferOutcome::Unreachable,
         Ok(ExchangeOutcome::Lost) => return OfferOutcome::Failed(Refusal::Unknown),
-        Err(_elapsed) => return OfferOutcome::Failed(Refusal::TimedOut),
+        Err(DeadlinePassed) => return OfferOutcome::Failed(Refusal::TimedOut),
     };
     let (mut head, body) = response.into_parts();
     if let Some(decline) = Decline::parse(head.status, &head.headers) {
@@ -363,7 +364,7 @@
     }
     let body = HandedOff {
         body,
-        deadline: Box::pin(sleep_until(outgoing.ends_at + DEADLINE_GRACE)),
+        deadline: (outgoing.ends_at + DEADLINE_GRACE).timer(),
         connection: is_kept.then_some((pool, sender)),
         in_use,
     };
@@ -376,7 +377,7 @@
     *request.method_mut() = outgoing.method.clone();
     *request.uri_mut() = outgoing.uri.clone();
     let mut headers = outgoing.headers.clone();
-    let remaining = outgoing.ends_at.saturating_duration_since(Instant::now());
+    let remaining = outgoing.ends_at.left();
     shared.dialect.write_remaining(&mut headers, remaining);
     headers.insert(TABLE_HEADER, table.into());
     *request.headers_mut() = headers;
--- a/crates/gateway/src/handoff/tests.rs
+++ b/crates/gateway/src/handoff/tests.rs
@@ -9,11 +9,12 @@
 use http::Request;
 use http_body_util::{BodyExt, Full};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream, duplex};
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::{DEADLINE_GRACE, HandedOff, PeerUse};
 use crate::attempt::{ExchangeOutcome, exchange};
 use crate::body::AnswerBody;
+use crate::deadline::Deadline;
 use crate::gateway::tests::shared;
 use crate::pool::handshake;
 use crate::read_guard::UnusedBytes;
@@ -70,7 +71,7 @@
     let began_at = Instant::now();
     let mut body = AnswerBody::HandedOff(HandedOff {
         body: response.into_body(),
-        deadline: Box::pin(sleep_until(began_at + LEFT + DEADLINE_GRACE)),
+        deadline: (Deadline::after(LEFT) + DEADLINE_GRACE).timer(),
         connection: None,
         in_use: PeerUse {
             shared: Arc::clone(&shared),
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -161,7 +161,7 @@
     /// Returns whether the request may be sent to one more endpoint, and counts the retry if so.
     pub(crate) fn may_retry(&self, history: &History) -> bool {
         let has_attempts = history.attempts < self.route.max_attempts.max(1);
-        let has_time = Instant::now() + MIN_ATTEMPT_TIME < self.outgoing.ends_at;
+        let has_time = self.outgoing.ends_at.left() > MIN_ATTEMPT_TIME;
         let is_allowed = has_attempts && has_time && self.gateway.try_retry(&self.service);
         if is_allowed {
             self.gateway.metrics.retries.inc();
@@ -177,7 +177,7 @@
     ) -> JobOutcome {
         let not_sent_before = history.not_sent;
         loop {
-            if Instant::now() + MIN_ATTEMPT_TIME >= self.outgoing.ends_at {
+            if self.outgoing.ends_at.left() <= MIN_ATTEMPT_TIME {
                 return JobOutcome::Refused(history.refusal(NO_ENDPOINT_RETRY));
             }
             if let Some(refusal) = self.held_refusal(history) {
@@ -429,10 +429,7 @@
     /// So does a trial of held prompt parts, on which other requests depend.
     fn urgency(&self, history: &History) -> (u32, Duration) {
         if history.first_chunk.is_some() || !self.outgoing.trial_parts.is_empty() {
-            let left = self
-                .outgoing
-                .ends_at
-                .saturating_duration_since(Instant::now());
+            let left = self.outgoing.ends_at.left();
             return (RESUMED_RANK, left.min(RESUME_BUDGET));
         }
         let target = Duration::from_millis(self.route.target_latency_ms);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod batch;
 mod body;
 mod connections;
+mod deadline;
 mod dedicated_thread;
 mod dialect;
 mod endpoint;
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -5,7 +5,6 @@
 
 use hinge_routing::{PlainCandidate, PlainOutcome, choose_plain};
 use smallvec::SmallVec;
-use tokio::time::Instant;
 
 use crate::endpoint::Endpoint;
 use crate::history::History;
@@ -32,8 +31,7 @@
         });
         let candidates: SmallVec<[PlainCandidate; 4]> = candidates.collect();
         history.candidates = candidates.len();
-        let ends_at = self.outgoing.ends_at;
-        let left = ends_at.saturating_duration_since(Instant::now());
+        let left = self.outgoing.ends_at.left();
         match choose_plain(&candidates, left, rand::random())? {
             PlainOutcome::Chosen(expected) => {
                 let candidate = &candidates[expected.index];
--- a/crates/gateway/src/request_body.rs
+++ b/crates/gateway/src/request_body.rs
@@ -4,8 +4,8 @@
 use hinge_link::{ByteBudget, HeldBudget};
 use http_body::Body;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use tokio::time::{Instant, timeout_at};
 
+use crate::deadline::{Deadline, DeadlinePassed};
 use crate::refusal::Refusal;
 
 #[cfg(test)]
@@ -34,7 +34,7 @@
     long_bodies: &ByteBudget,
     max_bytes: u64,
     body: B,
-    ends_at: Instant,
+    ends_at: Deadline,
 ) -> Result<RequestBody, Refusal>
 where
     B: Body<Data = Bytes> + Unpin,
@@ -54,12 +54,12 @@
     loop {
         if held.is_none() && known_length > SHORT_BODY_BYTES {
             let length = declared.unwrap_or(max_bytes);
-            let acquired = timeout_at(ends_at, long_bodies.acquire(length)).await;
-            held = Some(acquired.map_err(|_elapsed| Refusal::NoMemory)?);
+            let acquired = ends_at.limit(long_bodies.acquire(length)).await;
+            held = Some(acquired.map_err(|DeadlinePassed| Refusal::NoMemory)?);
             bytes.reserve(declared.unwrap_or_default());
         }
-        let next = timeout_at(ends_at, body.frame()).await;
-        let frame = match next.map_err(|_elapsed| Refusal::BadBody)? {
+        let next = ends_at.limit(body.frame()).await;
+        let frame = match next.map_err(|DeadlinePassed| Refusal::BadBody)? {
             None => break,
             Some(Ok(frame)) => frame,
             Some(Err(cause)) if cause.is::<LengthLimitError>() => return Err(Refusal::TooLong),
--- a/crates/gateway/src/request_body/tests.rs
+++ b/crates/gateway/src/request_body/tests.rs
@@ -15,6 +15,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::{MAX_LONG_BODY_BYTES, RequestBody, SHORT_BODY_BYTES, read};
+use crate::deadline::Deadline;
 use crate::refusal::Refusal;
 
 /// Longest body that is allowed.
@@ -27,7 +28,7 @@
 
 async fn read_whole(budget: &ByteBudget, length: usize) -> Result<RequestBody, Refusal> {
     let body = Full::new(Bytes::from(vec![b'u'; length]));
-    read(budget, MAX_BYTES as u64, body, Instant::now() + LEFT).await
+    read(budget, MAX_BYTES as u64, body, Deadline::after(LEFT)).await
 }
 
 /// Returns a body without a length, and counts what was read of it.
@@ -82,7 +83,7 @@
         let _held = budget.acquire(MAX_LONG_BODY_BYTES).await;
         let read_bytes = Arc::new(AtomicUsize::new(0));
         let body = in_pieces(MAX_BYTES, &read_bytes);
-        let refused = read(&budget, MAX_BYTES as u64, body, Instant::now() + LEFT).await;
+        let refused = read(&budget, MAX_BYTES as u64, body, Deadline::after(LEFT)).await;
         assert!(matches!(refused, Err(Refusal::NoMemory)));
         assert_eq!(read_bytes.load(Ordering::Relaxed), SHORT_BODY_BYTES + PIECE_BYTES);
     }
@@ -91,7 +92,7 @@
         assert!(matches!(read_whole(&budget, MAX_BYTES + 1).await, Err(Refusal::TooLong)));
         let read_bytes = Arc::default();
         let body = in_pieces(MAX_BYTES + PIECE_BYTES, &read_bytes);
-        let refused = read(&budget, MAX_BYTES as u64, body, Instant::now() + LEFT).await;
+        let refused = read(&budget, MAX_BYTES as u64, body, Deadline::after(LEFT)).await;
         assert!(matches!(refused, Err(Refusal::TooLong)));
     }
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -17,6 +17,7 @@
 use crate::answer::{ReadError, is_read_whole, read_whole};
 use crate::attempt::{Answer, OutgoingRequest, part_ids};
 use crate::body::AnswerBody;
+use crate::deadline::Deadline;
 use crate::dialect::RequestFacts;
 use crate::gateway::Shared;
 use crate::handoff::{Decline, TABLE_HEADER, hand_off};
@@ -91,7 +92,7 @@
         Ok(matched) => matched,
         Err(refusal) => return refuse_early(&gateway, table_number, &facts, &parts, refusal),
     };
-    let ends_at = arrived + time_limit(&route, &facts);
+    let ends_at = Deadline::after(time_limit(&route, &facts));
     let read = request_body::read(&gateway.long_bodies, max_body_bytes, body, ends_at);
     let body = match read.await {
         Ok(body) => body,
@@ -325,7 +326,7 @@
     body: RequestBody,
     facts: &RequestFacts,
     team: Option<Box<str>>,
-    ends_at: Instant,
+    ends_at: Deadline,
 ) -> OutgoingRequest {
     let mut headers = parts.headers;
     strip_hop_by_hop(&mut headers);
--- a/crates/gateway/src/streaming.rs
+++ b/crates/gateway/src/streaming.rs
@@ -6,11 +6,11 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::time::{Instant, timeout_at};
 
 use crate::attempt::Answer;
 use crate::batch::Batch;
 use crate::body::ChunkSender;
+use crate::deadline::{Deadline, DeadlinePassed};
 use crate::events::EventSplitter;
 use crate::headers;
 use crate::history::History;
@@ -196,10 +196,10 @@
     Due,
 }
 
-async fn next_chunk(body: &mut Incoming, ends_at: Instant) -> NextChunk {
+async fn next_chunk(body: &mut Incoming, ends_at: Deadline) -> NextChunk {
     loop {
-        return match timeout_at(ends_at, body.frame()).await {
-            Err(_elapsed) => NextChunk::TimedOut,
+        return match ends_at.limit(body.frame()).await {
+            Err(DeadlinePassed) => NextChunk::TimedOut,
             Ok(None) => NextChunk::End,
             Ok(Some(Err(_broken))) => NextChunk::Broken,
             Ok(Some(Ok(frame))) => match frame.into_data() {
