--- a/crates/fakes/src/process.rs
+++ b/crates/fakes/src/process.rs
@@ -101,13 +101,7 @@
         settings: PathBuf,
         panics: Panics,
     ) -> Self {
-        Self::launch(Launch {
-            binary: binary.into(),
-            role: role.to_owned(),
-            settings,
-            panics,
-            variables: Vec::new(),
-        })
+        Self::spawn_with_variables(binary, role, settings, panics, Vec::new())
     }
 
     /// Does the same as [`Self::spawn_recording_panics`], and adds variables to the environment of the process.
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -5,13 +5,10 @@
 use std::time::Duration;
 
 use hinge_routing::{
-    Candidate, Holders, Homes, KvSource, Prompt, RequestKey, SpillLimits, StreamKey, StreamOrigin,
-    UsageLag, WarmUpLimits, choose_after_refusal, choose_endpoint, choose_kv_source, return_key,
-    token_copy_time,
-};
-use hinge_schema::routing::{
-    AdmitAsk, AskWarmUp, Engine, RequestKind, Route, StreamsBegun, WarmUp,
+    Candidate, Holders, Homes, KvSource, Prompt, RequestKey, SpillLimits, UsageLag, WarmUpLimits,
+    choose_after_refusal, choose_endpoint, choose_kv_source, return_key, token_copy_time,
 };
+use hinge_schema::routing::{AdmitAsk, AskWarmUp, Engine, Route, WarmUp};
 use http::StatusCode;
 use smallvec::SmallVec;
 use tokio::time::Instant;
@@ -124,40 +121,6 @@
         self.outgoing.may_rerun
     }
 
-    /// Returns the origin of a stream that an endpoint begins, if another endpoint may continue it.
-    pub(crate) fn origin_at(&self, endpoint: &Endpoint) -> Option<Arc<StreamOrigin>> {
-        self.is_idempotent().then(|| {
-            Arc::new(StreamOrigin {
-                service: self.service.clone(),
-                software_version: endpoint.description.software_version.clone(),
-            })
-        })
-    }
-
-    /// Returns the key of the stream that the request begins or takes up.
-    fn stream_key(&self) -> Option<StreamKey> {
-        let named = self.resumes.as_ref().or(self.outgoing.request_id.as_ref());
-        named.map(|id| StreamKey::of(self.outgoing.team.as_deref(), id))
-    }
-
-    /// Returns the stream that an endpoint begins or continues, for its admission to keep, if it may continue elsewhere.
-    fn stream_at(&self, endpoint: &Endpoint) -> Option<StreamsBegun> {
-        let is_stream = self.route.kind == RequestKind::Streaming;
-        let origin = self.origin_at(endpoint).filter(|_| is_stream)?;
-        Some(StreamsBegun {
-            service: origin.service.clone(),
-            software_version: origin.software_version.clone(),
-            streams: vec![self.stream_key()?.into()],
-        })
-    }
-
-    /// Records that the caller gets the first event of this attempt.
-    pub(crate) fn record_begun(&self, history: &History) {
-        if let (Some(origin), Some(stream)) = (&history.stream_origin, self.stream_key()) {
-            self.gateway.streams.record_begun(stream, origin);
-        }
-    }
-
     /// Returns whether the request may be sent to one more endpoint, and counts the retry if so.
     pub(crate) fn may_retry(&self, history: &History) -> bool {
         let has_attempts = history.attempts < self.route.max_attempts.max(1);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod incarnation;
 mod job;
 mod listener;
+mod lookup;
 mod metrics;
 mod notices;
 mod overload;
--- a/crates/gateway/src/resumption.rs
+++ b/crates/gateway/src/resumption.rs
@@ -1,13 +1,16 @@
-//! Finds where a stream that a caller takes up again began.
+//! Finds where a stream that a caller takes up again began, and records where streams begin.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use hinge_routing::{StreamKey, StreamOrigin};
-use hinge_schema::routing::{RequestKind, Route};
+use hinge_schema::routing::{RequestKind, Route, StreamsBegun};
 
 use crate::dialect::RequestFacts;
+use crate::endpoint::Endpoint;
 use crate::gateway::Shared;
+use crate::history::History;
+use crate::job::Job;
 use crate::stream_directory::Lookup;
 use crate::takeover::MAX_STATE_AGE;
 
@@ -74,3 +77,39 @@
         })
     })
 }
+
+impl Job {
+    /// Returns the origin of a stream that an endpoint begins, if another endpoint may continue it.
+    pub(crate) fn origin_at(&self, endpoint: &Endpoint) -> Option<Arc<StreamOrigin>> {
+        self.is_idempotent().then(|| {
+            Arc::new(StreamOrigin {
+                service: self.service.clone(),
+                software_version: endpoint.description.software_version.clone(),
+            })
+        })
+    }
+
+    /// Returns the key of the stream that the request begins or takes up.
+    fn stream_key(&self) -> Option<StreamKey> {
+        let named = self.resumes.as_ref().or(self.outgoing.request_id.as_ref());
+        named.map(|id| StreamKey::of(self.outgoing.team.as_deref(), id))
+    }
+
+    /// Returns the stream that an endpoint begins or continues, for its admission to keep, if it may continue elsewhere.
+    pub(crate) fn stream_at(&self, endpoint: &Endpoint) -> Option<StreamsBegun> {
+        let is_stream = self.route.kind == RequestKind::Streaming;
+        let origin = self.origin_at(endpoint).filter(|_| is_stream)?;
+        Some(StreamsBegun {
+            service: origin.service.clone(),
+            software_version: origin.software_version.clone(),
+            streams: vec![self.stream_key()?.into()],
+        })
+    }
+
+    /// Records that the caller gets the first event of this attempt.
+    pub(crate) fn record_begun(&self, history: &History) {
+        if let (Some(origin), Some(stream)) = (&history.stream_origin, self.stream_key()) {
+            self.gateway.streams.record_begun(stream, origin);
+        }
+    }
+}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -3,11 +3,11 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use hinge_routing::{Homes, Overloaded, RequestKey, RouteIndex, StreamOrigin};
-use hinge_schema::routing::{Engine, RequestKind, Route, WarmUp};
+use hinge_routing::{Overloaded, RequestKey, StreamOrigin};
+use hinge_schema::routing::{RequestKind, Route};
 use hinge_telemetry::info;
 use hinge_telemetry::log::Component;
-use http::header::{CONNECTION, CONTENT_TYPE, HOST};
+use http::header::{CONNECTION, CONTENT_TYPE};
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -24,6 +24,7 @@
 use crate::headers::strip_hop_by_hop;
 use crate::history::{History, tokens_of};
 use crate::job::{Job, JobOutcome};
+use crate::lookup::{Match, look_up, properties_of};
 use crate::overload::RunningRequest;
 use crate::refusal::Refusal;
 use crate::request_body::{self, RequestBody};
@@ -252,75 +253,6 @@
     }
 }
 
-/// The result of looking a request up in the route table.
-struct Match {
-    route: Route,
-    service: Box<str>,
-    team: Option<Box<str>>,
-    /// Priority of the team, or else of the route.
-    rank: u32,
-    /// Model engines of the service, if it has any.
-    engine: Option<Engine>,
-    /// Limits of its endpoints while they warm up, if there are any.
-    warm_up: Option<WarmUp>,
-    homes: Homes,
-    max_body_bytes: u64,
-}
-
-/// Looks up the route, the service and the team of a request.
-fn look_up(
-    snapshot: &RoutingSnapshot,
-    parts: &Parts,
-    facts: &RequestFacts,
-) -> Result<Match, Refusal> {
-    let lookup = snapshot.lookup.as_ref().ok_or(Refusal::NoTable)?;
-    let host = host_of(parts).ok_or(Refusal::NoRoute)?;
-    let route = lookup
-        .route(host, parts.uri.path())
-        .ok_or(Refusal::NoRoute)?;
-    let team = if route.public || !lookup.requires_keys() {
-        None
-    } else {
-        let key = facts.key.as_deref().ok_or(Refusal::NoTeam)?;
-        let team = lookup.team(key).ok_or(Refusal::NoTeam)?;
-        Some(team)
-    };
-    let target = RouteIndex::pick_target(route, rand::random()).ok_or(Refusal::NoRoute)?;
-    let (engine, warm_up) = properties_of(snapshot, &target.service);
-    Ok(Match {
-        service: target.service.clone(),
-        team: team.map(|team| team.name.clone()),
-        rank: team
-            .and_then(|team| team.priority)
-            .unwrap_or(route.priority),
-        engine,
-        warm_up,
-        max_body_bytes: lookup.table().limits.max_body_bytes,
-        homes: Homes::of(
-            &route.allowed_regions,
-            team.map_or(&[], |team| &team.allowed_regions),
-        ),
-        route: route.clone(),
-    })
-}
-
-/// Returns the description of a service's model engines and the limits of their warm-up, if it has any.
-fn properties_of(snapshot: &RoutingSnapshot, service: &str) -> (Option<Engine>, Option<WarmUp>) {
-    let lookup = snapshot.lookup.as_ref();
-    let service = lookup.and_then(|lookup| lookup.service(service));
-    service.map_or((None, None), |service| {
-        (service.engine.clone(), service.warm_up.clone())
-    })
-}
-
-fn host_of(parts: &Parts) -> Option<&str> {
-    let host = match parts.headers.get(HOST) {
-        Some(host) => host.to_str().ok()?,
-        None => parts.uri.host()?,
-    };
-    Some(host.split(':').next().unwrap_or(host))
-}
-
 fn outgoing(
     parts: Parts,
     body: RequestBody,
