Gateway: a wait within a deadline allocates nothing

Each chunk of a stream is waited for within the request's deadline; the wait made a boxed timer each time. It uses a timeout on the stack now.

--- a/crates/gateway/src/deadline.rs
+++ b/crates/gateway/src/deadline.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use hinge_clock::BootInstant;
-use tokio::time::{Instant, Sleep, sleep};
+use tokio::time::{Instant, Sleep, sleep, timeout};
 
 #[cfg(test)]
 mod tests;
@@ -48,10 +48,13 @@
 
     /// Waits for a future, until the deadline at most.
     pub(crate) async fn limit<F: Future>(self, future: F) -> Result<F::Output, DeadlinePassed> {
-        tokio::select! {
-            biased;
-            output = future => Ok(output),
-            () = self.timer() => Err(DeadlinePassed),
+        tokio::pin!(future);
+        loop {
+            match timeout(self.next_check(), &mut future).await {
+                Ok(output) => return Ok(output),
+                Err(_elapsed) if self.left().is_zero() => return Err(DeadlinePassed),
+                Err(_elapsed) => {}
+            }
         }
     }
 
