Control: an acknowledged change is published before its operator is told

Cause, first part: the thread of the log answered an operator when it applied the change, then wrote to the disk, and only after that published the state that gateways are told from. A sync of two seconds lay between the acknowledgement and the first gateway that could learn of the change.

The state is published first now, then the operator is told, then the disk is written. The new test fails without this (table 19 published when 20 was acknowledged).

--- a/crates/control/src/driver/publish.rs
+++ b/crates/control/src/driver/publish.rs
@@ -50,25 +50,9 @@
         self.log_membership();
         let lease_until_us = lease_until_us(&self.node);
         self.lease_until_us.store(lease_until_us, Ordering::Release);
-        let mut has_changes = false;
-        if std::mem::take(&mut self.is_view_stale) {
-            let peer_addresses = self
-                .seen_peers
-                .iter()
-                .filter_map(|id| self.peers.address(*id));
-            let peer_addresses = peer_addresses.map(Box::from).collect();
-            if let Some(table) = self.state.routing().table() {
-                self.live_tables.record(Arc::downgrade(table));
-            }
-            let view = View {
-                patches: self.recent_patches.clone(),
-                ..view_of(&self.state, &self.seen_peers, peer_addresses)
-            };
-            self.view.store(Arc::new(view));
-            has_changes = true;
-        }
+        self.publish_view();
         let node_status = self.current_node_status();
-        has_changes |= self.node_status.send_if_modified(|known| {
+        let has_changes = self.node_status.send_if_modified(|known| {
             let is_new = *known != node_status;
             *known = node_status.clone();
             is_new
@@ -80,6 +64,27 @@
         }
     }
 
+    /// Publishes the applied state to the async tasks if it has changed.
+    pub(super) fn publish_view(&mut self) {
+        if !std::mem::take(&mut self.is_view_stale) {
+            return;
+        }
+        let peer_addresses = self
+            .seen_peers
+            .iter()
+            .filter_map(|id| self.peers.address(*id));
+        let peer_addresses = peer_addresses.map(Box::from).collect();
+        if let Some(table) = self.state.routing().table() {
+            self.live_tables.record(Arc::downgrade(table));
+        }
+        let view = View {
+            patches: self.recent_patches.clone(),
+            ..view_of(&self.state, &self.seen_peers, peer_addresses)
+        };
+        self.view.store(Arc::new(view));
+        self.published.send_modify(|count| *count += 1);
+    }
+
     /// Counts and publishes the bytes that this thread holds, if it is time to.
     pub(super) fn publish_held_bytes(&mut self, now: Duration) {
         if now < self.next_count_at {
--- a/crates/control/src/driver/tests.rs
+++ b/crates/control/src/driver/tests.rs
@@ -1,5 +1,6 @@
 //! Tests the order in which the thread publishes its lease and sends messages.
 
+mod acknowledged;
 mod lost_holders;
 mod stalled;
 
--- a/crates/control/src/driver/tests/lost_holders.rs
+++ b/crates/control/src/driver/tests/lost_holders.rs
@@ -17,13 +17,13 @@
 use crate::settings::{ControlSettings, Peer};
 
 /// A single control instance that leads.
-struct Leader {
-    driver: Driver,
+pub(super) struct Leader {
+    pub(super) driver: Driver,
     _folder: TempDir,
 }
 
 impl Leader {
-    async fn start() -> Self {
+    pub(super) async fn start() -> Self {
         let folder = tempfile::tempdir().expect("a temporary folder can be created");
         let mut settings = ControlSettings::new("control-a", "test", "127.0.0.1:0");
         settings.data_folder = Some(folder.path().into());
--- a/crates/control/src/driver/thread.rs
+++ b/crates/control/src/driver/thread.rs
@@ -75,6 +75,9 @@
     pub(super) next_count_at: Duration,
 }
 
+/// A proposal's reply that is sent once the state is published.
+type PendingReply = (ReplySender, Result<Reply, LogError>);
+
 impl LogThread {
     pub(super) fn run(mut self, inputs: &Receiver<Input>) {
         let ended = self.run_until_stop(inputs);
@@ -271,8 +274,14 @@
             self.recent_patches.clear();
             self.is_view_stale = true;
         }
+        let mut replies = Vec::new();
         for entry in output.committed {
-            self.apply(&entry)?;
+            replies.extend(self.apply(&entry)?);
+        }
+        // Whoever is told of a change finds it in the view, however long the write that follows takes.
+        self.publish_view();
+        for (waiting, reply) in replies {
+            let _receiver_is_gone = waiting.send(reply);
         }
         for read in output.reads {
             if let Some(callback) = self.pending_reads.remove(&read.read_id) {
@@ -299,12 +308,13 @@
         Ok((output.writes, output.token))
     }
 
-    fn apply(&mut self, entry: &hinge_raft::Entry) -> Result<(), Box<str>> {
+    /// Applies an entry, and returns the reply to the proposal that waits for it here, if there is one.
+    fn apply(&mut self, entry: &hinge_raft::Entry) -> Result<Option<PendingReply>, Box<str>> {
         self.applied_index = entry.index;
         self.log_bytes += entry.payload.len();
         if entry.kind != EntryKind::Command {
             // A membership change is answered when it takes effect, not here.
-            return Ok(());
+            return Ok(None);
         }
         let command = Command::decode(&entry.payload).map_err(|error| {
             let text = format!(
@@ -336,16 +346,14 @@
         let table_before = self.state.routing().table_number();
         let reply = self.state.apply(entry.index, entry.term, command);
         self.record_applied_table(table_before, patch.as_deref());
-        if let Some(waiting) = self.pending_proposals.remove(&(entry.term, entry.index)) {
-            // A voter found to have no disk in the meantime may have counted towards this commit.
-            let reply = if self.can_acknowledge() {
-                Ok(reply)
-            } else {
-                Err(LogError::OutcomeUnknown)
-            };
-            let _receiver_is_gone = waiting.send(reply);
-        }
-        Ok(())
+        let waiting = self.pending_proposals.remove(&(entry.term, entry.index));
+        // A voter found to have no disk in the meantime may have counted towards this commit.
+        let reply = if self.can_acknowledge() {
+            Ok(reply)
+        } else {
+            Err(LogError::OutcomeUnknown)
+        };
+        Ok(waiting.map(|waiting| (waiting, reply)))
     }
 
     fn take_snapshot(&mut self) {
