Control: an instance without a leader tells gateways of what is newer

What an instance has applied is committed, so it may be told; only that nothing is newer can't be.

A watch at an instance that knows no leader is answered with what is newer there, marked as unconfirmed, if the gateway accepts that, and with 503 otherwise. The gateway applies it and confirms nothing, so that its table ages and it looks for an instance with a leader.

The new test fails on the code before with 503. The case of both: a change that was acknowledged reaches gateways while the process that acknowledged it, or any that has applied it, answers at all.

--- a/crates/control/src/routing_calls.rs
+++ b/crates/control/src/routing_calls.rs
@@ -332,18 +332,13 @@
     loop {
         published.borrow_and_update();
         if core.leadership() == Leadership::Unknown {
-            return Err(UNAVAILABLE);
+            return newer_without_leader(&core, &message, deadline).await;
         }
         if sends_whole_table(&core.driver.view.load(), &message) {
             wait_for_room(&core, deadline).await?;
         }
         let update = update(&core, &message);
-        let has_changes = update.table.is_some()
-            || !update.table_patches.is_empty()
-            || update.endpoints.is_some()
-            || update.suspects.is_some()
-            || update.evacuations.is_some();
-        if has_changes {
+        if has_changes(&update) {
             return Ok(update);
         }
         match timeout_at(deadline, published.changed()).await {
@@ -355,6 +350,39 @@
     }
 }
 
+/// Answers without a known leader with what is newer here than at the caller.
+///
+/// It was committed, and may have been acknowledged just before the leader was lost. That nothing is newer can't be told.
+async fn newer_without_leader(
+    core: &Core,
+    message: &WatchRoutes,
+    deadline: Instant,
+) -> Result<RoutesUpdate, StatusCode> {
+    if !message.accepts_unconfirmed.unwrap_or(false) {
+        return Err(UNAVAILABLE);
+    }
+    if sends_whole_table(&core.driver.view.load(), message) {
+        wait_for_room(core, deadline).await?;
+    }
+    let update = RoutesUpdate {
+        is_unconfirmed: Some(true),
+        ..update(core, message)
+    };
+    if has_changes(&update) {
+        Ok(update)
+    } else {
+        Err(UNAVAILABLE)
+    }
+}
+
+fn has_changes(update: &RoutesUpdate) -> bool {
+    update.table.is_some()
+        || !update.table_patches.is_empty()
+        || update.endpoints.is_some()
+        || update.suspects.is_some()
+        || update.evacuations.is_some()
+}
+
 /// Records a gateway and returns others of its data centre; works on any instance, even without a known leader.
 async fn meet(core: Arc<Core>, message: MeetGateways) -> Result<NearbyGateways, StatusCode> {
     let now = core.now();
@@ -392,6 +420,7 @@
     wait_for_room(&core, deadline).await?;
     let view = core.driver.view.load();
     Ok(RoutesUpdate {
+        is_unconfirmed: None,
         table: current.table.map(|table| without_document(&table)),
         table_patches: Vec::new(),
         endpoints: Some(endpoint_list(&core, &view.routing)),
@@ -418,6 +447,7 @@
     let table = newer.filter(|_| table_patches.is_none());
     let are_endpoints_newer = routing.endpoints_version() > message.endpoints_version;
     RoutesUpdate {
+        is_unconfirmed: None,
         table: table.map(|table| without_document(table)),
         table_patches: table_patches.unwrap_or_default(),
         endpoints: are_endpoints_newer.then(|| endpoint_list(core, routing)),
--- a/crates/control/tests/roles/evacuations.rs
+++ b/crates/control/tests/roles/evacuations.rs
@@ -62,6 +62,7 @@
         suspects_version: None,
         evacuations_version: Some(0),
         accepts_patches: None,
+        accepts_unconfirmed: None,
         wait_ms: 100,
     };
     loop {
--- a/crates/control/tests/roles/fleet.rs
+++ b/crates/control/tests/roles/fleet.rs
@@ -270,6 +270,7 @@
             suspects_version: None,
             evacuations_version: None,
             accepts_patches: None,
+            accepts_unconfirmed: None,
             wait_ms: 100,
         };
         let watched = self
--- a/crates/control/tests/roles/tables.rs
+++ b/crates/control/tests/roles/tables.rs
@@ -2,7 +2,7 @@
 
 use hinge_cases::async_cases;
 use hinge_control::WATCH_ROUTES_PATH;
-use hinge_link::{CounterKind, Direction, MessageClass};
+use hinge_link::{CallError, CounterKind, Direction, MessageClass};
 use hinge_routing::patch_table;
 use hinge_schema::routing::{
     AskTable, CallerLimits, CurrentTable, RequestKind, Route, RouteTable, RoutesUpdate, Target,
@@ -10,7 +10,7 @@
 };
 use serde_bytes::ByteBuf;
 
-use crate::fleet::{Fleet, pause};
+use crate::fleet::{Fleet, pause, wait_for};
 
 /// Routes of a large configuration.
 const ROUTES: usize = 1_800;
@@ -93,6 +93,7 @@
         suspects_version: None,
         evacuations_version: None,
         accepts_patches: Some(true),
+        accepts_unconfirmed: None,
         wait_ms: 5_000,
     }
 }
@@ -167,6 +168,25 @@
         assert_eq!(patched, Ok(RouteTable { document: ByteBuf::new(), ..table }));
     }
 
+    // Guards against a change that was acknowledged and reaches no gateway, because the leader was lost just after.
+    an_instance_without_a_leader_tells_what_is_newer_and_nothing_else => {
+        let (fleet, mut table) = fleet_with_table().await;
+        let leader = fleet.leader().await;
+        let held = table.number;
+        change(&mut table);
+        fleet.put_table(&leader, &table).await;
+        fleet.net.isolate(&leader);
+        wait_for(|| !fleet.running[&leader].is_ready()).await;
+        let accepts = |table_number| WatchRoutes { accepts_unconfirmed: Some(true), ..watch(table_number) };
+        let update: RoutesUpdate = fleet.call(&leader, WATCH_ROUTES_PATH, &accepts(held)).await.expect("it has a newer table");
+        assert_eq!(update.is_unconfirmed, Some(true));
+        assert_eq!(update.table_patches.last().map(|patch| patch.number), Some(table.number));
+        for current_or_earlier_version in [accepts(table.number), watch(held)] {
+            let refused = fleet.call::<_, RoutesUpdate>(&leader, WATCH_ROUTES_PATH, &current_or_earlier_version).await;
+            assert!(matches!(refused, Err(CallError::Status(status)) if status == 503));
+        }
+    }
+
     a_gateway_with_an_unknown_table_gets_the_whole_one => {
         let (fleet, table) = fleet_with_table().await;
         let follower = fleet.follower().await;
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -86,6 +86,17 @@
         let without = routing.age();
         gauges.set(without, routing.current().table_number());
         match queried {
+            Ok(answered) if answered.update.is_unconfirmed.unwrap_or(false) => {
+                targets.record_failure(&seeds.borrow());
+                routing.apply(answered.update);
+                info!(
+                    Component::Gateway,
+                    "A control instance without a leader tells of changes.",
+                    address = answered.address,
+                    without_ms = without.as_millis(),
+                    table = routing.current().table_number()
+                );
+            }
             Ok(Answered {
                 address,
                 update,
@@ -153,6 +164,7 @@
         suspects_version: Some(routing.suspects.version()),
         evacuations_version: Some(snapshot.evacuations.version),
         accepts_patches: Some(routing.accepts_patches()),
+        accepts_unconfirmed: Some(true),
         wait_ms: millis(WATCH_WAIT),
     }
 }
--- a/crates/gateway/src/routing_state.rs
+++ b/crates/gateway/src/routing_state.rs
@@ -301,6 +301,7 @@
         let list = current.list.as_ref();
         let list = list.filter(|list| list.version > query.endpoints_version);
         RoutesUpdate {
+            is_unconfirmed: None,
             table: newer
                 .filter(|_| patches.is_none())
                 .map(|lookup| lookup.table().clone()),
