One has_changes for routing updates

Control and gateways each had their own copy of the check whether a routing update carries anything. It is a method of RoutesUpdate now, called by both.

--- a/crates/control/src/routing_calls.rs
+++ b/crates/control/src/routing_calls.rs
@@ -338,7 +338,7 @@
             wait_for_room(&core, deadline).await?;
         }
         let update = update(&core, &message);
-        if has_changes(&update) {
+        if update.has_changes() {
             return Ok(update);
         }
         match timeout_at(deadline, published.changed()).await {
@@ -368,21 +368,13 @@
         is_unconfirmed: Some(true),
         ..update(core, message)
     };
-    if has_changes(&update) {
+    if update.has_changes() {
         Ok(update)
     } else {
         Err(UNAVAILABLE)
     }
 }
 
-fn has_changes(update: &RoutesUpdate) -> bool {
-    update.table.is_some()
-        || !update.table_patches.is_empty()
-        || update.endpoints.is_some()
-        || update.suspects.is_some()
-        || update.evacuations.is_some()
-}
-
 /// Records a gateway and returns others of its data centre; works on any instance, even without a known leader.
 async fn meet(core: Arc<Core>, message: MeetGateways) -> Result<NearbyGateways, StatusCode> {
     let now = core.now();
--- a/crates/gateway/src/peer_updates.rs
+++ b/crates/gateway/src/peer_updates.rs
@@ -80,7 +80,7 @@
             (address, update)
         });
         for (address, update) in join_all(queries).await {
-            let Some(update) = update.filter(has_changes) else {
+            let Some(update) = update.filter(RoutesUpdate::has_changes) else {
                 continue;
             };
             info!(
@@ -99,14 +99,6 @@
     }
 }
 
-fn has_changes(update: &RoutesUpdate) -> bool {
-    update.table.is_some()
-        || !update.table_patches.is_empty()
-        || update.endpoints.is_some()
-        || update.suspects.is_some()
-        || update.evacuations.is_some()
-}
-
 /// Returns the routes for the readiness check and for other gateways' queries.
 pub(crate) fn routes(
     readiness: Arc<Readiness>,
