Gateway: long bodies hold memory only while an attempt may need it

Cause: the bound that keeps long bodies from ending a gateway took the longest allowed length for a body without a length, held the memory until the answer had ended, for a stream the whole stream, and let callers wait for it until their deadline.

Now a body without a length takes 256 KiB once it is long, gives back what it did not need, and grows beyond that if the rest is free or in a turn of its own, so that bodies that have arrived in part can't wait for each other. The memory belongs to the bytes: it is free once they are sent and no attempt may follow, that is from the head of an answer that can't be repeated or continued, and of a stream as well while less than half of the memory is free. A body waits for a quarter of its request's time.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hinge_link::HeldBudget;
 use hinge_routing::RequestKey;
 use http::header::CONTENT_ENCODING;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
@@ -19,6 +18,7 @@
 use crate::endpoint::{Endpoint, EndpointUse};
 use crate::headers;
 use crate::pool::{self, Sender};
+use crate::request_body::RequestBody;
 
 /// A caller's request as it is sent to endpoints.
 #[derive(Debug)]
@@ -27,9 +27,7 @@
     pub(crate) uri: Uri,
     /// Headers of the caller, without hop-by-hop headers.
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
-    /// The body's part of the memory for long ones.
-    pub(crate) _held_body: Option<HeldBudget>,
+    pub(crate) body: RequestBody,
     pub(crate) request_id: Option<Box<str>>,
     pub(crate) team: Option<Box<str>>,
     /// Ids of the prompt's parts, without the last one, which is specific to the request.
@@ -51,10 +49,22 @@
     pub(crate) fn key(&self) -> RequestKey {
         let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
         let team = self.team.as_deref();
-        let key = || RequestKey::of(self.method.as_str(), path, team, &self.body);
+        let key = || {
+            let body = self.body.bytes();
+            let body = body.expect("the key is computed before the body is released");
+            RequestKey::of(self.method.as_str(), path, team, &body)
+        };
         *self.key.get_or_init(key)
     }
 
+    /// Releases a long body, since no further attempt is made.
+    pub(crate) fn release_long_body(&self) {
+        if self.body.is_long() {
+            let _key = self.key();
+            self.body.release();
+        }
+    }
+
     /// Returns the keys of the prompt's parts at a service, without the last part, which no other request has.
     pub(crate) fn part_keys(&self, service: &str) -> SmallVec<[RequestKey; 3]> {
         let parts = self.shared_parts.iter();
@@ -126,6 +136,9 @@
     grant: Option<Grant>,
 ) -> AttemptOutcome {
     let mut in_use = endpoint.begin_request(outgoing.prompt_tokens, grant);
+    let Some(body) = outgoing.body.bytes() else {
+        return AttemptOutcome::NotSent;
+    };
     let kept = endpoint.pool.take();
     let is_kept = kept.is_some();
     let sender = match kept {
@@ -149,7 +162,7 @@
         endpoint.pool.keep(sender, None);
         return AttemptOutcome::NotSent;
     }
-    let request = request(dialect, endpoint, outgoing, last_event, fetch_from);
+    let request = request(dialect, endpoint, outgoing, body, last_event, fetch_from);
     in_use.record_sent();
     let sent = tokio::select! {
         biased;
@@ -185,10 +198,11 @@
     dialect: &dyn Dialect,
     endpoint: &Endpoint,
     outgoing: &OutgoingRequest,
+    body: Bytes,
     last_event: Option<u64>,
     fetch_from: Option<SocketAddr>,
 ) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(outgoing.body.clone()));
+    let mut request = Request::new(Full::new(body));
     *request.method_mut() = outgoing.method.clone();
     *request.uri_mut() = outgoing.uri.clone();
     *request.headers_mut() = outgoing.headers.clone();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 
 use hinge_clock::BootInstant;
 use hinge_link::{
-    ByteBudget, Client, ClusterKey, Drain, DrainGuard, Limits, Server, ServerHandle, close_listener,
+    Client, ClusterKey, Drain, DrainGuard, Limits, Server, ServerHandle, close_listener,
 };
 use hinge_routing::{
     CachedPrefixes, ChoiceRules, DataCenters, Holders, IncarnationHash, OverloadControl,
@@ -47,7 +47,7 @@
 use crate::peer_discovery;
 use crate::peer_updates;
 use crate::prepared_refusal;
-use crate::request_body::MAX_LONG_BODY_BYTES;
+use crate::request_body::{LongBodies, MAX_LONG_BODY_BYTES};
 use crate::routing_state::RoutingState;
 use crate::serve::{Origin, serve};
 use crate::stream_directory::{self, StreamDirectory};
@@ -131,8 +131,8 @@
     pub(crate) handoffs: Handoffs,
     pub(crate) gateway_count: GatewayCount,
     pub(crate) streams: Arc<StreamDirectory>,
-    /// Limits the long bodies of requests in progress.
-    pub(crate) long_bodies: ByteBudget,
+    /// The memory for the long bodies of requests in progress.
+    pub(crate) long_bodies: LongBodies,
     began: BootInstant,
 }
 
@@ -284,7 +284,7 @@
             handoffs: Handoffs::new(key.clone()),
             gateway_count: GatewayCount::default(),
             streams: Arc::clone(&streams),
-            long_bodies: ByteBudget::new(MAX_LONG_BODY_BYTES),
+            long_bodies: LongBodies::new(MAX_LONG_BODY_BYTES),
             began: BootInstant::now(),
         });
         let (stop, stopped) = watch::channel(false);
--- a/crates/gateway/src/gateway/tests.rs
+++ b/crates/gateway/src/gateway/tests.rs
@@ -27,6 +27,7 @@
 use crate::gateway_count::GatewayCount;
 use crate::handoff::Handoffs;
 use crate::metrics::Metrics;
+use crate::request_body::LongBodies;
 use crate::routing_state::RoutingState;
 use crate::stream_directory::StreamDirectory;
 use crate::suspects::Suspects;
@@ -88,7 +89,7 @@
         handoffs: Handoffs::new(key()),
         gateway_count: GatewayCount::default(),
         streams: Arc::new(StreamDirectory::register(&registry)),
-        long_bodies: hinge_link::ByteBudget::new(0),
+        long_bodies: LongBodies::new(0),
         began: BootInstant::now(),
     })
 }
--- a/crates/gateway/src/handoff.rs
+++ b/crates/gateway/src/handoff.rs
@@ -343,7 +343,10 @@
     let Some(sender) = shared.handoffs.connect(in_use.address, &pool).await else {
         return OfferOutcome::Unreachable;
     };
-    let request = request(&shared, table, outgoing);
+    let Some(body) = outgoing.body.bytes() else {
+        return OfferOutcome::Unreachable;
+    };
+    let request = request(&shared, table, outgoing, body);
     let sent = outgoing.ends_at.limit(exchange(sender, request)).await;
     let (sender, response) = match sent {
         Ok(ExchangeOutcome::Answered(sender, response)) => (sender, response),
@@ -372,8 +375,13 @@
     OfferOutcome::Answered(Box::new(response))
 }
 
-fn request(shared: &Shared, table: u64, outgoing: &OutgoingRequest) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(outgoing.body.clone()));
+fn request(
+    shared: &Shared,
+    table: u64,
+    outgoing: &OutgoingRequest,
+    body: Bytes,
+) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(body));
     *request.method_mut() = outgoing.method.clone();
     *request.uri_mut() = outgoing.uri.clone();
     let mut headers = outgoing.headers.clone();
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -406,6 +406,10 @@
         history: &mut History,
         last_event: Option<u64>,
     ) -> Option<Box<Answer>> {
+        if self.outgoing.body.bytes().is_none() {
+            history.record_cause("its long body was released");
+            return None;
+        }
         if !self.is_idempotent() || !self.may_retry(history) {
             return None;
         }
@@ -435,7 +439,7 @@
             .prompt
             .as_ref()
             .map_or(0, |prompt| prompt.max_answer_tokens);
-        self.outgoing.body.len() as u64 + HEAD_BYTES + u64::from(answer_tokens) * TOKEN_BYTES
+        self.outgoing.body.length() as u64 + HEAD_BYTES + u64::from(answer_tokens) * TOKEN_BYTES
     }
 
     /// Returns the endpoints that probably cache the prompt's shared prefix, the most recent first.
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -29,7 +29,7 @@
     TooLong,
     /// The body did not arrive whole.
     BadBody,
-    /// Its body is long, and other long ones have used up the memory for them until its deadline; it did not run.
+    /// Its body is long, and other long ones have used up the memory for them; it did not run.
     NoMemory,
     /// No endpoint could take it; it did not run.
     NotRun {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -269,8 +269,7 @@
         method: parts.method,
         uri: origin_form(&parts.uri),
         headers,
-        body: body.bytes,
-        _held_body: body.held,
+        body,
         request_id: facts.request_id.clone(),
         team,
         shared_parts: facts.prompt.as_ref().map_or_else(SmallVec::new, |prompt| {
@@ -409,6 +408,9 @@
             continue;
         }
         history.status = answer.response.status().as_u16();
+        if !job.is_idempotent() {
+            job.outgoing.release_long_body();
+        }
         if is_read_whole(answer.response.body()) {
             match buffered_answer(&job, &mut history, *answer).await {
                 Ok(response) => return response,
@@ -478,6 +480,10 @@
     *response.status_mut() = answer.response.status();
     let mut headers = answer.response.headers().clone();
     let is_events = is_event_stream(&headers);
+    // What the caller has of another answer can't be continued, and a stream only does if it breaks off.
+    if !is_events || job.gateway.long_bodies.is_scarce() {
+        job.outgoing.release_long_body();
+    }
     if is_events && history.stream_origin.is_none() {
         history.stream_origin = job.origin_at(answer.in_use.endpoint());
     }
--- a/crates/link/src/byte_budget.rs
+++ b/crates/link/src/byte_budget.rs
@@ -18,7 +18,22 @@
 #[derive(Debug)]
 #[must_use = "the bytes are returned when it is dropped"]
 pub struct HeldBudget {
-    _permit: Option<OwnedSemaphorePermit>,
+    permit: Option<OwnedSemaphorePermit>,
+}
+
+impl HeldBudget {
+    /// Returns what exceeds a number of bytes to the budget.
+    pub fn shrink(&mut self, bytes: usize) {
+        let Some(permit) = &mut self.permit else {
+            return;
+        };
+        let surplus = permit.num_permits().saturating_sub(units(bytes) as usize);
+        drop(permit.split(surplus));
+    }
+}
+
+fn units(bytes: usize) -> u32 {
+    u32::try_from(bytes.div_ceil(UNIT_BYTES)).unwrap_or(u32::MAX)
 }
 
 impl ByteBudget {
@@ -34,11 +49,25 @@
 
     /// Waits until so many bytes are free, and takes them; a longer request takes the whole budget.
     pub async fn acquire(&self, bytes: usize) -> HeldBudget {
-        let units = u32::try_from(bytes.div_ceil(UNIT_BYTES)).unwrap_or(u32::MAX);
-        let units = Arc::clone(&self.units).acquire_many_owned(units.min(self.max_units));
+        let units = Arc::clone(&self.units).acquire_many_owned(units(bytes).min(self.max_units));
         HeldBudget {
             // The semaphore is never closed.
-            _permit: units.await.ok(),
+            permit: units.await.ok(),
         }
     }
+
+    /// Takes so many bytes if they are free and no other task waits for some; `None` otherwise.
+    #[must_use]
+    pub fn try_acquire(&self, bytes: usize) -> Option<HeldBudget> {
+        let taken = Arc::clone(&self.units).try_acquire_many_owned(units(bytes));
+        taken.ok().map(|permit| HeldBudget {
+            permit: Some(permit),
+        })
+    }
+
+    /// Returns the number of bytes that are free.
+    #[must_use]
+    pub fn free_bytes(&self) -> usize {
+        self.units.available_permits() * UNIT_BYTES
+    }
 }
