--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -20,6 +20,9 @@
 use crate::pool::{self, Sender};
 use crate::request_body::RequestBody;
 
+#[cfg(test)]
+pub(crate) mod tests;
+
 /// A caller's request as it is sent to endpoints.
 #[derive(Debug)]
 pub(crate) struct OutgoingRequest {
--- a/crates/gateway/src/handoff/tests.rs
+++ b/crates/gateway/src/handoff/tests.rs
@@ -12,6 +12,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::{DEADLINE_GRACE, HandedOff, PeerUse};
+use crate::attempt::tests::{ANSWERS, Read, send_pieces};
 use crate::attempt::{ExchangeOutcome, exchange};
 use crate::body::AnswerBody;
 use crate::deadline::Deadline;
@@ -54,22 +55,19 @@
     std::future::pending::<()>().await;
 }
 
-/// Passes the answer of another gateway on, and returns how it ended.
-async fn pass_on(chunks: usize, is_ended: bool) -> Ended {
-    let (ours, theirs) = duplex(4_096);
-    tokio::spawn(answer(theirs, chunks, is_ended));
+/// Sends a request to another gateway, and returns the body that is passed on; `None` without an answer.
+async fn hand_off(ours: DuplexStream) -> Option<AnswerBody> {
     let sender = handshake(ours, UnusedBytes::unlimited()).await;
     let sender = sender.expect("the pipe is open");
     let request = Request::new(Full::new(Bytes::new()));
     let ExchangeOutcome::Answered(_sender, response) = exchange(sender, request).await else {
-        panic!("the other gateway answers");
+        return None;
     };
     let shared = shared(1);
     let address = SocketAddr::from(([127, 0, 0, 1], 1));
     shared.handoffs.set_peers(&[address]);
     let address = shared.handoffs.choose(&[]).expect("it is known");
-    let began_at = Instant::now();
-    let mut body = AnswerBody::HandedOff(HandedOff {
+    Some(AnswerBody::HandedOff(HandedOff {
         body: response.into_body(),
         deadline: (Deadline::after(LEFT) + DEADLINE_GRACE).timer(),
         connection: None,
@@ -77,7 +75,16 @@
             shared: Arc::clone(&shared),
             address,
         },
-    });
+    }))
+}
+
+/// Passes the answer of another gateway on, and returns how it ended.
+async fn pass_on(chunks: usize, is_ended: bool) -> Ended {
+    let (ours, theirs) = duplex(4_096);
+    tokio::spawn(answer(theirs, chunks, is_ended));
+    let body = hand_off(ours).await;
+    let mut body = body.expect("the other gateway answers");
+    let began_at = Instant::now();
     let mut chunks = 0;
     let is_whole = loop {
         let next = timeout(TEST_TIMEOUT, body.frame()).await;
@@ -94,6 +101,20 @@
     }
 }
 
+/// Passes on what another gateway sends of an answer before it ends.
+async fn pass_on_cut(sent: Vec<u8>) -> Read {
+    let (ours, theirs) = duplex(4_096);
+    tokio::spawn(send_pieces(theirs, vec![sent]));
+    let Some(body) = hand_off(ours).await else {
+        return Read::Nothing;
+    };
+    let body = timeout(TEST_TIMEOUT, body.collect()).await;
+    match body.expect("the answer ends") {
+        Ok(body) => Read::Whole(body.to_bytes()),
+        Err(_broken_off) => Read::BrokenOff,
+    }
+}
+
 async_cases! {
     an_answer_from_a_gateway_that_hangs_is_broken_off_at_its_deadline => {
         let ended = pass_on(3, false).await;
@@ -104,4 +125,13 @@
         let ended = pass_on(3, true).await;
         assert_eq!(ended, Ended { chunks: 3, is_whole: true, after: 3 * PAUSE });
     }
+    // Guards against a gateway that ends within the head of an answer that it passes on.
+    no_answer_looks_whole_whose_gateway_ends_after_any_of_its_bytes => {
+        for answer in ANSWERS.iter().filter(|answer| answer.is_framed) {
+            for bytes in 0..=answer.length() {
+                let read = pass_on_cut(answer.first(bytes)).await;
+                answer.check(bytes, &read);
+            }
+        }
+    }
 }
--- a/crates/sidecar/tests/sidecar/faults.rs
+++ b/crates/sidecar/tests/sidecar/faults.rs
@@ -1,5 +1,7 @@
 //! Tests that each fault of the endpoint or of control is reported with the outcome that the stand-in's record shows.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use hinge_cases::async_cases;
@@ -10,6 +12,9 @@
 };
 use hinge_sidecar::SidecarSettings;
 
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
 use crate::support::{TestBed, WAIT, offer};
 
 pub(crate) fn short_timeouts(settings: &mut SidecarSettings) {
@@ -65,7 +70,52 @@
     assert_eq!(bed.run_counts(1), (0, 0));
 }
 
+/// An answer of an endpoint that states its length.
+const ANSWER: &[u8] =
+    b"HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: 5\r\n\r\nhello";
+
+/// Starts an endpoint that answers each request with the first bytes of an answer and closes, and returns its address.
+async fn cut_endpoint(bytes: Arc<AtomicUsize>) -> Box<str> {
+    let listener = TcpListener::bind("127.0.0.1:0").await;
+    let listener = listener.expect("a free port exists");
+    let address = listener.local_addr().expect("it is bound").to_string();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let bytes = bytes.load(Ordering::SeqCst);
+            tokio::spawn(async move {
+                let mut request = [0; 4_096];
+                // A connection without a request is closed as well.
+                let _received = stream.read(&mut request).await;
+                let _sent = stream.write_all(&ANSWER[..bytes]).await;
+            });
+        }
+    });
+    address.into()
+}
+
 async_cases! { real
+    // Guards against an endpoint that stops within the head of its answer and closes.
+    an_answer_that_ends_after_any_of_its_bytes_is_a_failure => {
+        let bytes = Arc::new(AtomicUsize::new(0));
+        let address = cut_endpoint(Arc::clone(&bytes)).await;
+        for number in 0..=ANSWER.len() {
+            // A sidecar stops to send requests to an endpoint that fails.
+            let bed = TestBed::open(|settings| {
+                settings.endpoint_address = address.clone();
+                settings.load_interval = WAIT;
+            }).await;
+            bytes.store(number, Ordering::SeqCst);
+            let (mut entry, _) = bed.granted(offer(1)).await;
+            entry.bind("/x", b"").await;
+            let whole = entry.whole().await;
+            if number == ANSWER.len() {
+                whole.expect("the answer is whole");
+            } else {
+                let failed = whole.expect_err("the answer is cut");
+                assert_eq!(failed.kind, FailureKind::Unknown, "{number} bytes");
+            }
+        }
+    }
     an_endpoint_that_hangs_leaves_the_outcome_unknown => {
         check_outcome_unknown(Fault::Hang, NotRunReason::EndpointFailed).await;
     }
