Gateway: one that starts asks others for the gateways that they know

A gateway and control instances that were started a moment ago know few of the other gateways, and a stream whose copies lie at one that is not known is refused.

Cause: control instances keep the gateways that registered with them in memory, and each gateway registers with one of them every five seconds. After a roll of all processes a list names few of them for up to 15 s with three control instances, and 85 s with 17.

In its first rounds of queries a gateway asks three known gateways of its data centre and three others for those that they know. A gateway that only others name is forgotten after a minute, so that ended ones are not named forever.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -414,11 +414,11 @@
         age_ms: shared.metrics.table_age_ms.clone(),
         number: shared.metrics.table_number.clone(),
     };
-    let instance = settings.instance.clone();
+    let (instance, own) = (settings.instance.clone(), settings.peer_address);
     let reporting = suspect_reports::run(client.clone(), instance.clone(), Arc::clone(&routing));
     let trials = part_trials::run(client.clone(), instance, Arc::clone(&routing));
     let following = follow::run(client.clone(), settings, seeds, routing, readiness, gauges);
-    let discovery = peer_discovery::run(client, announcement, shared);
+    let discovery = peer_discovery::run(client, announcement, own, shared);
     futures::join!(reporting, trials, following, discovery);
 }
 
--- a/crates/gateway/src/peer_discovery.rs
+++ b/crates/gateway/src/peer_discovery.rs
@@ -21,11 +21,14 @@
 const FIRST_INTERVAL: Duration = Duration::from_millis(100);
 const LATER_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Number of rounds of queries after which this gateway knows the others from control instances alone.
+const ROUNDS_WITH_PEERS: usize = 4;
+
 /// Timeout of a query, after which the next instance is queried.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Queries control instances in turn until the task is aborted.
-pub(crate) async fn run(client: Client, query: MeetGateways, shared: Arc<Shared>) {
+pub(crate) async fn run(client: Client, query: MeetGateways, own: SocketAddr, shared: Arc<Shared>) {
     let from = rand::random::<u32>() as usize;
     let mut queried = 0;
     loop {
@@ -54,6 +57,10 @@
                     shared.gateway_count.record(count);
                 }
                 shared.streams.add_peers(&nearby.peers, &nearby.far_peers);
+                if queried <= known.len() * ROUNDS_WITH_PEERS {
+                    let asked = shared.streams.ask_for_peers(&client, &query.instance, own);
+                    asked.await;
+                }
             }
             Err(cause) => debug!(
                 Component::Gateway,
--- a/crates/gateway/src/stream_directory.rs
+++ b/crates/gateway/src/stream_directory.rs
@@ -12,11 +12,14 @@
 
 mod copies;
 mod queries;
+#[cfg(test)]
+mod tests;
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use futures::future::join_all;
 use hinge_admission::FIND_STREAMS_PATH;
 use hinge_clock::BootInstant;
 use hinge_link::{Client, ClusterKey, FrameReader, FrameSender, serve_call, serve_exchange};
@@ -24,7 +27,7 @@
     CopyProgress, Known, OriginLog, PeerList, StreamKey, StreamOrigin, StreamOrigins,
 };
 use hinge_schema::routing::{
-    FindStreams, FoundStreams, RecordStreams, RecordedStreams, StreamsBegun,
+    FindStreams, FoundStreams, ListPeers, ListedPeers, RecordStreams, RecordedStreams, StreamsBegun,
 };
 use hinge_telemetry::metrics::Registry;
 use http::StatusCode;
@@ -39,6 +42,15 @@
 /// Path of the exchange over which a gateway sends copies of origins.
 const RECORD_PATH: &str = "/v1/streams/record";
 
+/// Path on which a gateway names the others that it knows.
+const PEERS_PATH: &str = "/v1/gateways/peers";
+
+/// Timeout of a query for other gateways.
+const LIST_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Maximum number of gateways of each kind that are asked for others.
+const MAX_ASKED_PEERS: usize = 3;
+
 /// Timeout of a query for the origin of a stream; its caller waits for the next event meanwhile.
 const FIND_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -135,6 +147,55 @@
         peers.far.record_listed(now, parsed(far));
     }
 
+    /// Asks some gateways for the others that they know.
+    ///
+    /// Control instances that were started a moment ago know few gateways, and a gateway that was as well would not find the
+    /// streams that the others keep.
+    pub(crate) async fn ask_for_peers(&self, client: &Client, instance: &str, own: SocketAddr) {
+        let (near, far): (Vec<SocketAddr>, Vec<SocketAddr>) = {
+            let peers = lock(&self.peers);
+            (
+                peers.near.addresses().take(MAX_ASKED_PEERS).collect(),
+                peers.far.addresses().take(MAX_ASKED_PEERS).collect(),
+            )
+        };
+        let asked = near.iter().map(|address| (address, true));
+        let asked = asked.chain(far.iter().map(|address| (address, false)));
+        let message = ListPeers {
+            instance: instance.into(),
+        };
+        let calls = asked.map(|(address, is_near)| {
+            let (address, message) = (address.to_string(), &message);
+            async move {
+                let called = client.call(&address, PEERS_PATH, message, LIST_TIMEOUT);
+                // A gateway that does not answer may have ended.
+                let listed: Option<ListedPeers> = called.await.ok();
+                listed.map(|listed| (listed, is_near))
+            }
+        });
+        for (listed, is_near) in join_all(calls).await.into_iter().flatten() {
+            let now = self.began.elapsed();
+            let mut peers = lock(&self.peers);
+            let others = parsed(&listed.near).filter(|address| *address != own);
+            // What is far from another data centre may be near.
+            if is_near {
+                peers.near.record_named(now, others);
+                peers.far.record_named(now, parsed(&listed.far));
+            } else {
+                peers.far.record_named(now, others);
+            }
+        }
+    }
+
+    fn list_peers(&self) -> ListedPeers {
+        let peers = lock(&self.peers);
+        let text = |address: SocketAddr| address.to_string().into();
+        ListedPeers {
+            near: peers.near.addresses().map(text).collect(),
+            far: peers.far.addresses().map(text).collect(),
+        }
+    }
+
     /// Records a stream of which this gateway passes on the first event, and which ends within some time.
     pub(crate) fn record_begun(
         &self,
@@ -306,6 +367,7 @@
 ) -> Router {
     let (record_key, record_directory) = (key.clone(), Arc::clone(directory));
     let (find_key, find_directory) = (key.clone(), Arc::clone(directory));
+    let (list_key, list_directory) = (key.clone(), Arc::clone(directory));
     let record = move |request: Request| {
         let directory = Arc::clone(&record_directory);
         let response = if *directory.is_leaving.borrow() {
@@ -327,7 +389,15 @@
             serve_call(&key, request, answer).await
         }
     };
+    let list = move |request: Request| {
+        let (key, directory) = (list_key.clone(), Arc::clone(&list_directory));
+        async move {
+            let answer = async |_query: ListPeers| Ok(directory.list_peers());
+            serve_call(&key, request, answer).await
+        }
+    };
     router
+        .post(PEERS_PATH, list)
         .post(RECORD_PATH, record)
         .post(FIND_STREAMS_PATH, find)
 }
--- a/crates/routing/src/peer_list.rs
+++ b/crates/routing/src/peer_list.rs
@@ -10,10 +10,13 @@
 /// Time for which a gateway stays known after it was last listed.
 const LISTED_TTL: Duration = Duration::from_mins(3);
 
+/// Time for which a gateway stays known that only another gateway has named, so that those that have ended are not named forever.
+const NAMED_TTL: Duration = Duration::from_mins(1);
+
 #[derive(Debug, Clone, Copy)]
 struct Peer {
     address: SocketAddr,
-    listed_at: Duration,
+    known_until: Duration,
     suspended_until: Duration,
 }
 
@@ -42,16 +45,24 @@
         now: Duration,
         addresses: impl IntoIterator<Item = SocketAddr>,
     ) {
+        self.record(now + LISTED_TTL, addresses);
+        self.peers.retain(|_, peer| now < peer.known_until);
+    }
+
+    /// Records addresses that another gateway has named.
+    pub fn record_named(&mut self, now: Duration, addresses: impl IntoIterator<Item = SocketAddr>) {
+        self.record(now + NAMED_TTL, addresses);
+    }
+
+    fn record(&mut self, known_until: Duration, addresses: impl IntoIterator<Item = SocketAddr>) {
         for address in addresses {
             let peer = self.peers.entry(position(address)).or_insert(Peer {
                 address,
-                listed_at: now,
+                known_until,
                 suspended_until: Duration::ZERO,
             });
-            peer.listed_at = now;
+            peer.known_until = peer.known_until.max(known_until);
         }
-        self.peers
-            .retain(|_, peer| now < peer.listed_at + LISTED_TTL);
     }
 
     /// Returns all known addresses.
--- a/crates/routing/tests/stream_origins.rs
+++ b/crates/routing/tests/stream_origins.rs
@@ -127,4 +127,12 @@
         peers.record_listed(SECOND * 180, []);
         assert_eq!(peers.addresses().collect::<Vec<_>>(), [address(3)]);
     }
+    a_gateway_that_only_others_name_is_forgotten_earlier => {
+        let mut peers = peers(&[1]);
+        peers.record_named(SECOND * 130, [address(1), address(3)]);
+        peers.record_listed(SECOND * 189, []);
+        assert_eq!(peers.addresses().count(), 2);
+        peers.record_listed(SECOND * 190, [address(1)]);
+        assert_eq!(peers.addresses().collect::<Vec<_>>(), [address(1)]);
+    }
 }
