Gateway: a planned stop waits until control knows of ends under requests

What callers might see: an endpoint more that a request crashes. An end of an endpoint under a request is reported to control in a batch; a gateway that stopped while control had no leader dropped it (by reading; not seen).

A stop waits, within its grace period, until control has acknowledged the reports, beside the wait for the copies of origins. Two tests of when a report is pending; the function that they call did not exist before.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -384,8 +384,15 @@
         });
         let has_ended = has_ended.await.is_ok();
         let left = ends_at.saturating_duration_since(Instant::now());
-        // Without another gateway that keeps the copies, they end with this one.
-        let _is_copied = timeout(left, self.shared.streams.wait_until_copied()).await;
+        let pending_reports = &self.shared.routing.suspects.pending_reports;
+        let passed_on = async {
+            futures::join!(
+                self.shared.streams.wait_until_copied(),
+                pending_reports.wait_until_acknowledged()
+            )
+        };
+        // What no other process can take by then ends with this one.
+        let _is_passed_on = timeout(left, passed_on).await;
         self.serving.abort_all();
         self.lag_watch.abort();
         has_ended
--- a/crates/gateway/src/suspect_reports.rs
+++ b/crates/gateway/src/suspect_reports.rs
@@ -9,11 +9,14 @@
 use hinge_schema::routing::{ReportSuspects, ReportSuspectsReply, SuspectEnd};
 use hinge_telemetry::log::Component;
 use hinge_telemetry::warn;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::time::sleep;
 
 use crate::routing_state::RoutingState;
 
+#[cfg(test)]
+mod tests;
+
 /// Delay that lets all requests broken off by one end be reported in one call.
 const BATCH_DELAY: Duration = Duration::from_millis(50);
 
@@ -38,6 +41,8 @@
 pub(crate) struct PendingReports {
     report: Mutex<Report>,
     added: Notify,
+    /// Changed while the report is locked.
+    has_pending: watch::Sender<bool>,
 }
 
 impl PendingReports {
@@ -60,9 +65,23 @@
         let mut report = self.lock();
         add(&mut report);
         report.drop_oldest();
+        self.has_pending.send_replace(true);
         self.added.notify_one();
     }
 
+    /// Waits until control has acknowledged everything.
+    pub(crate) async fn wait_until_acknowledged(&self) {
+        let mut has_pending = self.has_pending.subscribe();
+        // The sender lives as long as this.
+        let _acknowledged = has_pending.wait_for(|has_pending| !has_pending).await;
+    }
+
+    /// Records that control has acknowledged what was taken.
+    fn acknowledged(&self) {
+        let report = self.lock();
+        self.has_pending.send_replace(!report.is_empty());
+    }
+
     fn take(&self) -> Report {
         std::mem::take(&mut *self.lock())
     }
@@ -84,6 +103,10 @@
 }
 
 impl Report {
+    fn is_empty(&self) -> bool {
+        self.ends.is_empty() && self.completed.is_empty() && self.sound.is_empty()
+    }
+
     fn drop_oldest(&mut self) {
         let too_many = self.ends.len().saturating_sub(MAX_PENDING);
         self.ends.drain(..too_many);
@@ -121,16 +144,19 @@
         pending.added.notified().await;
         sleep(BATCH_DELAY).await;
         let report = pending.take();
-        if let Err(cause) = report_to_any(&client, &routing, &report.message(&instance)).await {
-            warn!(
-                Component::Gateway,
-                "Could not tell control of ends under requests.",
-                ends = report.ends.len(),
-                completed = report.completed.len(),
-                cause = cause
-            );
-            pending.put_back(report);
-            sleep(REPORT_RETRY_DELAY).await;
+        match report_to_any(&client, &routing, &report.message(&instance)).await {
+            Ok(()) => pending.acknowledged(),
+            Err(cause) => {
+                warn!(
+                    Component::Gateway,
+                    "Could not tell control of ends under requests.",
+                    ends = report.ends.len(),
+                    completed = report.completed.len(),
+                    cause = cause
+                );
+                pending.put_back(report);
+                sleep(REPORT_RETRY_DELAY).await;
+            }
         }
     }
 }
