Gateway: one that knows no others looks for a holder once a second

A gateway that is alone in its data centre looked for a holder of its copies ten times a second for as long as it ran, once a stream had begun. It looks once a second while it knows no other one; ten times a second only while the known ones were refused or lost a moment ago. From reading the diff; not measured.

--- a/crates/gateway/src/stream_directory/copies.rs
+++ b/crates/gateway/src/stream_directory/copies.rs
@@ -28,8 +28,9 @@
 const UNREACHABLE_BACKOFF: Duration = Duration::from_secs(2);
 const LEAVING_BACKOFF: Duration = Duration::from_millis(500);
 
-/// Delay until a holder is searched again after none was found.
+/// Delay until a holder is searched again after none of the known gateways was usable, and while none is known.
 const SEARCH_DELAY: Duration = Duration::from_millis(100);
+const DISCOVERY_DELAY: Duration = Duration::from_secs(1);
 
 /// Which of a gateway's two holders.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -72,9 +73,18 @@
     }
     loop {
         let now = directory.began.elapsed();
-        let holder = ring.peers(&mut lock(&directory.peers)).successor(now, own);
+        let (holder, is_alone) = {
+            let mut peers = lock(&directory.peers);
+            let list = ring.peers(&mut peers);
+            (list.successor(now, own), list.addresses().next().is_none())
+        };
         let Some(holder) = holder else {
-            sleep(SEARCH_DELAY).await;
+            sleep(if is_alone {
+                DISCOVERY_DELAY
+            } else {
+                SEARCH_DELAY
+            })
+            .await;
             continue;
         };
         let opened = client
