--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -6,7 +6,8 @@
 
 use bytes::Bytes;
 use hinge_routing::RequestKey;
-use http::header::CONTENT_ENCODING;
+use http::header::{CONTENT_ENCODING, CONTENT_LENGTH, EXPECT};
+use http::request::Parts;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -14,7 +15,7 @@
 
 use crate::admission::Grant;
 use crate::deadline::{Deadline, DeadlinePassed};
-use crate::dialect::{Dialect, Disposition, ForwardFacts};
+use crate::dialect::{Dialect, Disposition, ForwardFacts, RequestFacts};
 use crate::endpoint::{Endpoint, EndpointUse};
 use crate::headers;
 use crate::pool::{self, Sender};
@@ -48,6 +49,39 @@
 }
 
 impl OutgoingRequest {
+    /// Creates the request that endpoints receive from one of a caller.
+    pub(crate) fn new(
+        parts: Parts,
+        body: RequestBody,
+        facts: &RequestFacts,
+        team: Option<Box<str>>,
+        ends_at: Deadline,
+        may_rerun: bool,
+    ) -> Self {
+        let mut headers = parts.headers;
+        headers::strip_hop_by_hop(&mut headers);
+        // The body was buffered and is sent with its exact length, however it was framed on arrival.
+        headers.remove(CONTENT_LENGTH);
+        headers.remove(EXPECT);
+        let prompt = facts.prompt.as_ref();
+        Self {
+            method: parts.method,
+            uri: origin_form(&parts.uri),
+            headers,
+            body,
+            request_id: facts.request_id.clone(),
+            team,
+            shared_parts: prompt.map_or_else(SmallVec::new, |prompt| {
+                prompt.shared_parts().iter().map(|part| part.id).collect()
+            }),
+            prompt_tokens: prompt.map_or(0, |prompt| prompt.prompt_tokens),
+            may_rerun,
+            ends_at,
+            key: OnceLock::new(),
+            trial_parts: SmallVec::new(),
+        }
+    }
+
     /// Returns the key that is the same at every gateway and for every attempt of the caller.
     pub(crate) fn key(&self) -> RequestKey {
         let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
@@ -77,6 +111,11 @@
     }
 }
 
+fn origin_form(uri: &Uri) -> Uri {
+    let path = uri.path_and_query().cloned();
+    path.map_or_else(|| uri.clone(), Uri::from)
+}
+
 /// Returns the ids of prompt parts in hexadecimal, joined by commas.
 pub(crate) fn part_ids(parts: &[u64]) -> String {
     let ids: SmallVec<[String; 3]> = parts.iter().map(|id| format!("{id:x}")).collect();
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,6 +1,6 @@
 //! Serves one request: looks up its route and team, admits it or hands it off, and returns an endpoint's answer or a refusal.
 
-use std::sync::{Arc, OnceLock};
+use std::sync::Arc;
 use std::time::Duration;
 
 use hinge_routing::{Overloaded, RequestKey, StreamOrigin};
@@ -27,7 +27,7 @@
 use crate::lookup::{Match, look_up, properties_of};
 use crate::overload::RunningRequest;
 use crate::refusal::Refusal;
-use crate::request_body::{self, RequestBody};
+use crate::request_body;
 use crate::resumption::origin_of;
 use crate::routing_state::RoutingSnapshot;
 use crate::streaming;
@@ -99,10 +99,8 @@
         Ok(body) => body,
         Err(refusal) => return refuse_early(&gateway, table_number, &facts, &parts, refusal),
     };
-    let mut outgoing = OutgoingRequest {
-        may_rerun: may_run_again(&route),
-        ..outgoing(parts, body, &facts, team, ends_at)
-    };
+    let may_rerun = may_run_again(&route);
+    let mut outgoing = OutgoingRequest::new(parts, body, &facts, team, ends_at, may_rerun);
     let suspects = &gateway.routing.suspects;
     match suspects.verdict(&outgoing, &service) {
         Verdict::Allowed => {}
@@ -253,44 +251,6 @@
     }
 }
 
-fn outgoing(
-    parts: Parts,
-    body: RequestBody,
-    facts: &RequestFacts,
-    team: Option<Box<str>>,
-    ends_at: Deadline,
-) -> OutgoingRequest {
-    let mut headers = parts.headers;
-    strip_hop_by_hop(&mut headers);
-    // The body was buffered and is sent with its exact length, however it was framed on arrival.
-    headers.remove(http::header::CONTENT_LENGTH);
-    headers.remove(http::header::EXPECT);
-    OutgoingRequest {
-        method: parts.method,
-        uri: origin_form(&parts.uri),
-        headers,
-        body,
-        request_id: facts.request_id.clone(),
-        team,
-        shared_parts: facts.prompt.as_ref().map_or_else(SmallVec::new, |prompt| {
-            prompt.shared_parts().iter().map(|part| part.id).collect()
-        }),
-        prompt_tokens: facts
-            .prompt
-            .as_ref()
-            .map_or(0, |prompt| prompt.prompt_tokens),
-        may_rerun: false,
-        ends_at,
-        key: OnceLock::new(),
-        trial_parts: SmallVec::new(),
-    }
-}
-
-fn origin_form(uri: &http::Uri) -> http::Uri {
-    let path = uri.path_and_query().cloned();
-    path.map_or_else(|| uri.clone(), http::Uri::from)
-}
-
 fn refuse_early(
     gateway: &Shared,
     table_number: u64,
