--- a/crates/gateway/src/stream_directory.rs
+++ b/crates/gateway/src/stream_directory.rs
@@ -52,7 +52,7 @@
 const MAX_ASKED_PEERS: usize = 3;
 
 /// Timeout of a query for the origin of a stream; its caller waits for the next event meanwhile.
-const FIND_TIMEOUT: Duration = Duration::from_millis(400);
+const FIND_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Time for which a holder gathers messages before it confirms them.
 const CONFIRM_DELAY: Duration = Duration::from_millis(100);
--- a/crates/gateway/src/stream_directory/tests.rs
+++ b/crates/gateway/src/stream_directory/tests.rs
@@ -1,15 +1,20 @@
-//! Checks how a gateway that has just started learns of the others.
+//! Checks how a gateway learns of the others, and asks them where streams began.
 
+use std::future::pending;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use hinge_admission::FIND_STREAMS_PATH;
 use hinge_cases::async_cases;
-use hinge_link::{Client, ClusterKey, Limits, Server, ServerHandle};
+use hinge_link::{Client, ClusterKey, Limits, Server, ServerHandle, serve_call};
+use hinge_routing::StreamKey;
+use hinge_schema::routing::{FindStreams, FoundStreams, StreamsBegun};
 use hinge_telemetry::metrics::Registry;
-use viz::Router;
+use viz::{Request, Router};
 
-use super::{StreamDirectory, add_routes, lock};
+use super::{Lookup, StreamDirectory, add_routes, lock, spawn};
 
 const OWN: &str = "127.0.0.1:1";
 const NEAR: &str = "127.0.0.1:2";
@@ -62,7 +67,44 @@
     })
 }
 
+/// Serves the only stream that is known, and does not answer the first call.
+async fn serve_second_call(stream: StreamKey) -> ServerHandle {
+    let calls = Arc::new(AtomicUsize::new(0));
+    let router = Router::new().post(FIND_STREAMS_PATH, move |request: Request| {
+        let calls = Arc::clone(&calls);
+        async move {
+            let answer = async |_query: FindStreams| {
+                if calls.fetch_add(1, Ordering::SeqCst) == 0 {
+                    pending::<()>().await;
+                }
+                let begun = vec![StreamsBegun {
+                    service: "app".into(),
+                    software_version: "v1".into(),
+                    streams: vec![stream.into()],
+                    keep_ms: None,
+                }];
+                Ok(FoundStreams { begun })
+            };
+            serve_call(&cluster_key(), request, answer).await
+        }
+    });
+    let server = Server::bind("127.0.0.1:0", router, Limits::default()).await;
+    server.expect("a port is free")
+}
+
 async_cases! { real
+    // Guards against streams that are refused since the machines of those who know them are busy.
+    a_gateway_that_does_not_answer_is_asked_again => {
+        let stream = StreamKey::of(None, "id-1");
+        let server = serve_second_call(stream).await;
+        let directory = Arc::new(StreamDirectory::register(&Registry::new()));
+        directory.add_peers(&texts(&[&server.local_address().to_string()]), &[]);
+        let own = OWN.parse().expect("it is an address");
+        let _tasks = spawn(&directory, Client::new(cluster_key()), own);
+        let found = directory.find(stream, Vec::new()).await;
+        assert!(matches!(found, Lookup::Elsewhere(_)), "{found:?}");
+        server.stop(Duration::ZERO).await;
+    }
     // Guards against streams that are refused since control was started a moment ago as well.
     a_gateway_learns_of_others_from_one_of_its_data_centre => {
         let server = serve(&[OWN, NEAR], &[FAR]).await;
