Link: an answer whose head contradicts itself about its body is none

Callers got bodies that no endpoint meant, as complete answers with status 200. An endpoint whose head was damaged where it tells the length sent: "transfer-encoding: chunke", and the caller got the body with its chunk sizes; "gzip, chunked", and it got a body in another coding; a length of 3 beside "chunked", and it got the first three bytes of eleven; the same length on two lines.

Cause: the HTTP library reads a body with a coding that it does not know until the connection closes, decodes the last of several codings, and prefers chunks to a length. The gateway then took any Transfer-Encoding for proof that the answer states its end (is_self_delimited), so that even the check for a crash was left out. The sidecar had the same test, and the admission's client of its engine had none.

BodyEnd::read in hinge-link tells from a head what ends the body, and refuses one that says more than one thing: a coding other than "chunked", one on several lines, one beside a length, more than one length. The gateway, the sidecar and the engine's client ask it before they believe anything else of such a head. The outcome of the request is then unknown (502); one that may be repeated goes to another endpoint. A valid head gives the body it gave before.

Lengths with signs, blanks and letters, lines that are no fields, and names with blanks or control bytes were refused before; their tests stay.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hinge_link::BodyEnd;
 use hinge_routing::RequestKey;
 use http::header::{CONTENT_ENCODING, CONTENT_LENGTH, EXPECT};
 use http::request::Parts;
@@ -126,6 +127,7 @@
 #[derive(Debug)]
 pub(crate) struct Answer {
     pub(crate) response: Response<Incoming>,
+    pub(crate) body_end: BodyEnd,
     pub(crate) connection: Connection,
     pub(crate) in_use: EndpointUse,
 }
@@ -292,6 +294,14 @@
 ) -> AttemptOutcome {
     let status = response.status();
     let headers = response.headers();
+    let body_end = match BodyEnd::read(&outgoing.method, status, headers) {
+        Ok(body_end) => body_end,
+        // Nothing else that such a head says is believed either; the connection is dropped.
+        Err(invalid) => {
+            in_use.record_failure(invalid.as_str());
+            return AttemptOutcome::Unknown(invalid.as_str());
+        }
+    };
     let facts = dialect.read_answer(outgoing.request_id.as_deref(), status, headers);
     // The answer to another request says nothing about this one; the connection is dropped.
     if !facts.is_ours {
@@ -336,6 +346,7 @@
     };
     AttemptOutcome::Answered(Box::new(Answer {
         response,
+        body_end,
         connection,
         in_use,
     }))
--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -4,13 +4,10 @@
 
 use http::HeaderMap;
 use http::header::{
-    CONNECTION, CONTENT_LENGTH, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
+    CONNECTION, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
     TRANSFER_ENCODING, UPGRADE,
 };
 
-#[cfg(test)]
-mod tests;
-
 /// Header with the time for which a peer keeps an idle connection.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
@@ -60,8 +57,3 @@
     let seconds = parts.find_map(|part| part.trim().strip_prefix("timeout="))?;
     seconds.parse().ok().map(Duration::from_secs)
 }
-
-/// Returns whether an answer is delimited by its length or by chunks, rather than by the close of its connection.
-pub(crate) fn is_self_delimited(headers: &HeaderMap) -> bool {
-    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
-}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -418,6 +418,7 @@
         response,
         connection,
         mut in_use,
+        ..
     } = answer;
     let (mut head, body) = response.into_parts();
     let body = tokio::select! {
--- a/crates/gateway/src/streaming.rs
+++ b/crates/gateway/src/streaming.rs
@@ -12,7 +12,6 @@
 use crate::body::{CallerLeft, ChunkSender};
 use crate::deadline::{Deadline, DeadlinePassed};
 use crate::events::EventSplitter;
-use crate::headers;
 use crate::history::History;
 use crate::job::Job;
 
@@ -103,12 +102,13 @@
 ) -> StreamEnd {
     let Answer {
         response,
+        body_end,
         connection,
         mut in_use,
     } = *answer;
     let is_success = response.status().is_success();
     // If only the close of the connection marks the end, a crash of the endpoint looks the same.
-    let is_framed = headers::is_self_delimited(response.headers());
+    let is_framed = body_end.is_stated();
     let mut body = response.into_body();
     let mut has_begun = false;
     let may_rerun = splitter.is_some() && job.outgoing.may_rerun;
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -14,6 +14,7 @@
 mod drain;
 mod frames;
 mod inbound;
+mod response_head;
 mod server;
 mod traffic;
 
@@ -29,5 +30,6 @@
     BodyGuard, HeldBytes, Inbound, InboundLimits, NoRoom, OpenConnection, Peer, RequestGuard,
     TrackedBody,
 };
+pub use response_head::{BodyEnd, InvalidHead};
 pub use server::{Limits, Server, ServerHandle, serve_call, serve_exchange};
 pub use traffic::{CounterKind, Direction, MessageClass, Traffic};
--- a/crates/sidecar/src/endpoint.rs
+++ b/crates/sidecar/src/endpoint.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hinge_link::BodyEnd;
 use hinge_schema::messages::{Bind, Header};
 use http::header::{
     CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION,
@@ -166,6 +167,7 @@
     let mut connection = connection.ok()?;
     let response = connection.sender.send_request(request).await.ok()?;
     let status = response.status();
+    BodyEnd::read(&Method::GET, status, response.headers()).ok()?;
     let body = Limited::new(response.into_body(), MAX_LOAD_BYTES);
     let body = body.collect().await.ok()?;
     Some((status, body.to_bytes()))
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hinge_link::BodyEnd;
 use hinge_outcome::{ClaimId, Reason, RunEvent, Verdict};
 use hinge_placement::Sample;
 use hinge_schema::messages::{
     AnswerHead, Bind, ClaimKey, ClaimVerdict, FinishKey, KeyOutcome, Offer,
 };
-use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use http::header::CONTENT_TYPE;
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -142,10 +143,10 @@
         // From here on the outcome can't be "not run" any more. If the run was withdrawn meanwhile, nothing is sent.
         self.hand_over()?;
         let began_at = shared.now();
-        let response = self.head(&mut connection, request).await?;
+        let (response, body_end) = self.head(&mut connection, request).await?;
         let wait = shared.now().saturating_sub(began_at);
         let status = response.status();
-        let units = self.stream(response, began_at).await?;
+        let units = self.stream(response, body_end, began_at).await?;
         Ok(Served {
             units,
             status,
@@ -206,12 +207,13 @@
         })
     }
 
-    /// Hands the request over and waits for the head of the answer.
+    /// Hands the request over, and returns the head of the answer and what ends its body.
     async fn head(
         self,
         connection: &mut Connection,
         request: http::Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, Failure> {
+    ) -> Result<(Response<Incoming>, BodyEnd), Failure> {
+        let method = request.method().clone();
         let head_timeout = self.shared.settings.head_timeout;
         let sent = timeout(head_timeout, connection.sender.send_request(request)).await;
         let response = match sent {
@@ -219,6 +221,8 @@
             Ok(Err(_broken)) => return Err(Failure::by_endpoint(Reason::EndpointFailed)),
             Err(_elapsed) => return Err(Failure::by_endpoint(Reason::EndpointTimeout)),
         };
+        let body_end = BodyEnd::read(&method, response.status(), response.headers());
+        let body_end = body_end.map_err(|_invalid| Failure::by_endpoint(Reason::EndpointFailed))?;
         if self.is_crossed(response.headers()) {
             return Err(Failure::by_endpoint(Reason::AnswerCrossed));
         }
@@ -227,7 +231,7 @@
             status: response.status().as_u16(),
             headers: endpoint::answer_headers(response.headers().clone()),
         });
-        Ok(response)
+        Ok((response, body_end))
     }
 
     /// Returns whether the answer names another request; an answer that names none can't be checked.
@@ -239,14 +243,11 @@
     async fn stream(
         self,
         response: Response<Incoming>,
+        body_end: BodyEnd,
         began_at: Duration,
     ) -> Result<u64, Failure> {
         let shared = self.shared;
-        let headers = response.headers();
-        let has_length = headers.contains_key(CONTENT_LENGTH)
-            || headers.contains_key(TRANSFER_ENCODING)
-            || has_no_body(&response, &self.bound.bind);
-        let is_event_stream = is_event_stream(headers);
+        let is_event_stream = is_event_stream(response.headers());
         let request_bytes = self.bound.body.len();
         let kind = rules::kind(&shared.member.config().effective, &shared.settings);
         let mut meter = Meter::start(kind, request_bytes, is_event_stream, began_at);
@@ -263,8 +264,8 @@
             let pushed = timeout(shared.settings.reader_timeout, self.answer.push(&data)).await;
             pushed.map_err(|_elapsed| Failure::new(Reason::AnswerTruncated))?;
         }
-        // Without a length, the end of the connection does not prove that the answer is whole.
-        if !has_length && !meter.is_done() {
+        // The close of the connection does not prove that the answer is whole.
+        if !body_end.is_stated() && !meter.is_done() {
             return Err(Failure::by_endpoint(Reason::AnswerTruncated));
         }
         let total = meter.total_units(shared.now());
@@ -396,9 +397,3 @@
     let content_type = headers.get(CONTENT_TYPE);
     content_type.is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
 }
-
-/// Returns whether HTTP defines this answer to have no body, so that it needs no length.
-fn has_no_body(response: &Response<Incoming>, bind: &Bind) -> bool {
-    let status = response.status().as_u16();
-    matches!(status, 204 | 304) || &*bind.method == "HEAD"
-}
--- a/crates/sidecar/tests/sidecar/faults.rs
+++ b/crates/sidecar/tests/sidecar/faults.rs
@@ -74,19 +74,31 @@
 const ANSWER: &[u8] =
     b"HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: 5\r\n\r\nhello";
 
-/// Starts an endpoint that answers each request with the first bytes of an answer and closes, and returns its address.
-async fn cut_endpoint(bytes: Arc<AtomicUsize>) -> Box<str> {
+/// Heads of which the body can't be told.
+const DAMAGED_HEADS: &[&str] = &[
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunke\r\n\r\n",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, chunked\r\n\r\n",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ncontent-length: 3\r\n\r\n",
+    "HTTP/1.1 200 OK\r\ncontent-length: 15\r\ncontent-length: 15\r\n\r\n",
+    "HTTP/1.1 200 OK\r\ncontent-length 15\r\n\r\n",
+];
+
+/// Body that follows a damaged head.
+const CHUNKED_BODY: &str = "5\r\nhello\r\n0\r\n\r\n";
+
+/// Starts an endpoint that answers each request with these bytes and closes, and returns its address.
+async fn raw_endpoint(answer: impl Fn() -> Vec<u8> + Send + 'static) -> Box<str> {
     let listener = TcpListener::bind("127.0.0.1:0").await;
     let listener = listener.expect("a free port exists");
     let address = listener.local_addr().expect("it is bound").to_string();
     tokio::spawn(async move {
         while let Ok((mut stream, _)) = listener.accept().await {
-            let bytes = bytes.load(Ordering::SeqCst);
+            let answer = answer();
             tokio::spawn(async move {
                 let mut request = [0; 4_096];
                 // A connection without a request is closed as well.
                 let _received = stream.read(&mut request).await;
-                let _sent = stream.write_all(&ANSWER[..bytes]).await;
+                let _sent = stream.write_all(&answer).await;
             });
         }
     });
@@ -97,7 +109,8 @@
     // Guards against an endpoint that stops within the head of its answer and closes.
     an_answer_that_ends_after_any_of_its_bytes_is_a_failure => {
         let bytes = Arc::new(AtomicUsize::new(0));
-        let address = cut_endpoint(Arc::clone(&bytes)).await;
+        let sent = Arc::clone(&bytes);
+        let address = raw_endpoint(move || ANSWER[..sent.load(Ordering::SeqCst)].to_vec()).await;
         for number in 0..=ANSWER.len() {
             // A sidecar stops to send requests to an endpoint that fails.
             let bed = TestBed::open(|settings| {
@@ -116,6 +129,17 @@
             }
         }
     }
+    // Guards against a body that is passed on with its chunk sizes, in the wrong coding, or cut by a wrong length.
+    an_answer_with_a_damaged_head_is_a_failure => {
+        for head in DAMAGED_HEADS {
+            let address = raw_endpoint(|| [head, CHUNKED_BODY].concat().into_bytes()).await;
+            let bed = TestBed::open(|settings| settings.endpoint_address = address).await;
+            let (mut entry, _) = bed.granted(offer(1)).await;
+            entry.bind("/x", b"").await;
+            let failed = entry.whole().await.expect_err("the body can't be told");
+            assert_eq!((failed.kind, failed.reason), (FailureKind::Unknown, NotRunReason::EndpointFailed), "{head:?}");
+        }
+    }
     an_endpoint_that_hangs_leaves_the_outcome_unknown => {
         check_outcome_unknown(Fault::Hang, NotRunReason::EndpointFailed).await;
     }
