Link: an answer with a status that no final response has is none

Callers got answers with the statuses 600 and 999, which no client knows, and 101, after which a client takes its connection for one of another protocol. An endpoint's 204 with a length lost its body: the caller got a complete answer without one.

Cause: the HTTP library accepts the statuses from 100 to 999, and reads no body after 204 whatever the head states. The gateway passed on what the library accepted.

BodyEnd::read refuses a status outside of 200 to 599, and a 204 that states a body. A 204 without a length, or with one of 0, and a 304 are as before.

--- a/crates/link/src/response_head.rs
+++ b/crates/link/src/response_head.rs
@@ -1,13 +1,17 @@
 //! Checks the head of an HTTP/1 response beyond what the HTTP library checks.
 //!
 //! The library reads a body with an unknown transfer coding until the connection closes, decodes the last one of several codings,
-//! and prefers chunks to a length that is stated as well. A damaged head would thus give a body that its sender did not mean.
+//! prefers chunks to a length that is stated as well, and accepts every status from 100 to 999. A damaged head would thus give a
+//! body that its sender did not mean.
 
 use std::fmt;
 
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
 
+/// The statuses of final responses (RFC 9110, section 15).
+const FINAL_STATUSES: std::ops::RangeInclusive<u16> = 200..=599;
+
 /// What ends the body of a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BodyEnd {
@@ -24,12 +28,15 @@
     ///
     /// # Errors
     ///
-    /// Returns an error when the head contradicts itself, so that its body is not known.
+    /// Returns an error when the head contradicts itself or is not that of a final response, so that its body is not known.
     pub fn read(
         method: &Method,
         status: StatusCode,
         headers: &HeaderMap,
     ) -> Result<Self, InvalidHead> {
+        if !FINAL_STATUSES.contains(&status.as_u16()) {
+            return Err(InvalidHead::Status);
+        }
         let length = only_value(headers, &CONTENT_LENGTH, InvalidHead::Length)?;
         let length = length.map(parse_length).transpose()?;
         let coding = only_value(headers, &TRANSFER_ENCODING, InvalidHead::TransferCoding)?;
@@ -40,6 +47,9 @@
             return Err(InvalidHead::LengthAndChunks);
         }
         let has_no_body = status == StatusCode::NO_CONTENT;
+        if has_no_body && (coding.is_some() || length.is_some_and(|bytes| bytes > 0)) {
+            return Err(InvalidHead::BodyOfNoContent);
+        }
         if has_no_body || status == StatusCode::NOT_MODIFIED || method == Method::HEAD {
             return Ok(Self::Length(0));
         }
@@ -60,12 +70,16 @@
 /// The error that the head of a response is not valid.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum InvalidHead {
+    /// The status is not one of a final response.
+    Status,
     /// The length is not one number.
     Length,
     /// The transfer coding is another one than `chunked`.
     TransferCoding,
     /// There is a length beside a transfer coding.
     LengthAndChunks,
+    /// A body is stated for a status without one.
+    BodyOfNoContent,
 }
 
 impl InvalidHead {
@@ -73,9 +87,11 @@
     #[must_use]
     pub fn as_str(self) -> &'static str {
         match self {
+            Self::Status => "the status of the answer is not that of a final response",
             Self::Length => "the length of the answer is not one number",
             Self::TransferCoding => "the transfer coding of the answer is not \"chunked\"",
             Self::LengthAndChunks => "the answer has a length and a transfer coding",
+            Self::BodyOfNoContent => "the answer states a body that its status excludes",
         }
     }
 }
--- a/crates/link/tests/response_head.rs
+++ b/crates/link/tests/response_head.rs
@@ -48,4 +48,10 @@
     a_length_with_letters_is_refused => (Method::GET, 200, &[("content-length", "3x")], Err(InvalidHead::Length)),
     a_length_beyond_64_bits_is_refused => (Method::GET, 200, &[("content-length", "18446744073709551616")], Err(InvalidHead::Length)),
     an_invalid_length_of_no_body_is_refused => (Method::HEAD, 200, &[("content-length", "3x")], Err(InvalidHead::Length)),
+    an_informational_status_is_refused => (Method::GET, 199, &[], Err(InvalidHead::Status)),
+    a_switch_of_protocols_is_refused => (Method::GET, 101, &[("content-length", "3")], Err(InvalidHead::Status)),
+    a_status_beyond_all_classes_is_refused => (Method::GET, 600, &[("content-length", "3")], Err(InvalidHead::Status)),
+    the_highest_status_is_refused => (Method::GET, 999, &[("content-length", "3")], Err(InvalidHead::Status)),
+    no_content_with_a_length_is_refused => (Method::GET, 204, &[("content-length", "3")], Err(InvalidHead::BodyOfNoContent)),
+    no_content_with_chunks_is_refused => (Method::GET, 204, &[("transfer-encoding", "chunked")], Err(InvalidHead::BodyOfNoContent)),
 }
