Gateway: an answer without a length that ends while its request is being sent is cut

Callers got a part of an answer as a complete one. An endpoint answered a long upload at once, with a 200 that states no length, sent part of the body, ended its side of the connection and reset it while the upload was still being written.

Cause: such an answer ends with its connection, and the HTTP library reports its end before, or without, the failed write of the request. The gateway's other check, whether anything still listens at the endpoint's address, does not see a reset by an endpoint that goes on.

GuardedStream now records whether the last write to the connection took everything, and an answer that states no end counts as broken off while a part of its request is unsent: its caller's answer breaks off too, and a resumable stream continues elsewhere. An answer with a length or with chunks is not affected, so an endpoint may still answer before it has read a long body. Not covered: a request that lies in the system's buffers as a whole when the reset comes after the end.

A reset without an end was noticed before; that test stays.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -147,6 +147,11 @@
         self.sender.record_body(bytes);
     }
 
+    /// Returns whether a part of the request is not sent.
+    pub(crate) fn has_unsent_part(&self) -> bool {
+        self.sender.has_unsent_part()
+    }
+
     /// Returns the connection to the pool once its answer is read whole.
     pub(crate) fn keep(self) {
         if !self.closes && !self.endpoint.is_draining() {
--- a/crates/gateway/src/attempt/tests.rs
+++ b/crates/gateway/src/attempt/tests.rs
@@ -13,8 +13,8 @@
 use super::{ExchangeOutcome, exchange};
 use crate::answer::{ReadError, read_whole};
 use crate::deadline::Deadline;
+use crate::guarded_stream::UnusedBytes;
 use crate::pool::handshake;
-use crate::read_guard::UnusedBytes;
 
 /// Timeout of a test that hangs, on the paused clock.
 const TEST_TIMEOUT: Duration = Duration::from_mins(1);
--- a/crates/gateway/src/read_guard.rs
+++ b/crates/gateway/src/guarded_stream.rs
@@ -1,12 +1,15 @@
-//! Closes connections that deliver bytes without end of which nothing can be used.
+//! Watches what the HTTP library reads of a connection and writes to it.
 //!
-//! The HTTP library skips informational answers, leading zeros of chunk sizes and the like for as long as they come. The
-//! guard counts what is read of a connection and not delivered as a head or as a part of a body.
+//! The library skips informational answers, leading zeros of chunk sizes and the like for as long as they come. The guard
+//! counts what is read and not delivered as a head or as a part of a body, and closes a connection that delivers bytes
+//! without end of which nothing can be used.
+//!
+//! The library does not tell either whether it could send the whole request before an answer ended.
 
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::task::{Context, Poll, ready};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -62,16 +65,38 @@
     }
 }
 
+/// Whether a part of the last request could not be written yet, or never.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct UnsentPart(Arc<AtomicBool>);
+
+impl UnsentPart {
+    /// Returns whether there is such a part.
+    pub(crate) fn is_some(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    /// Records the outcome of a write of some bytes.
+    fn record_write(&self, bytes: usize, written: &Poll<io::Result<usize>>) {
+        let is_whole = matches!(written, Poll::Ready(Ok(written)) if *written == bytes);
+        self.0.store(!is_whole, Ordering::Relaxed);
+    }
+}
+
 /// A connection that fails once too many unused bytes were read.
 #[derive(Debug)]
 pub(crate) struct GuardedStream<S> {
     stream: S,
     unused: UnusedBytes,
+    unsent: UnsentPart,
 }
 
 impl<S> GuardedStream<S> {
-    pub(crate) fn new(stream: S, unused: UnusedBytes) -> Self {
-        Self { stream, unused }
+    pub(crate) fn new(stream: S, unused: UnusedBytes, unsent: UnsentPart) -> Self {
+        Self {
+            stream,
+            unused,
+            unsent,
+        }
     }
 }
 
@@ -94,7 +119,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.unsent.record_write(buf.len(), &written);
+        written
     }
 
     fn poll_write_vectored(
@@ -102,7 +129,10 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        let bytes = bufs.iter().map(|buf| buf.len()).sum();
+        self.unsent.record_write(bytes, &written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/gateway/src/handoff.rs
+++ b/crates/gateway/src/handoff.rs
@@ -29,9 +29,9 @@
 use crate::body::{AnswerBody, BrokenOff};
 use crate::deadline::{DeadlinePassed, DeadlineTimer};
 use crate::gateway::Shared;
+use crate::guarded_stream::UnusedBytes;
 use crate::headers::{closes_connection, strip_hop_by_hop};
 use crate::pool::{self, Pool, Sender};
-use crate::read_guard::UnusedBytes;
 use crate::refusal::Refusal;
 
 #[cfg(test)]
--- a/crates/gateway/src/handoff/tests.rs
+++ b/crates/gateway/src/handoff/tests.rs
@@ -17,8 +17,8 @@
 use crate::body::AnswerBody;
 use crate::deadline::Deadline;
 use crate::gateway::tests::shared;
+use crate::guarded_stream::UnusedBytes;
 use crate::pool::handshake;
-use crate::read_guard::UnusedBytes;
 
 /// Time from the head of an answer to its deadline.
 const LEFT: Duration = Duration::from_secs(3);
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -19,7 +19,7 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 
-use crate::read_guard::{GuardedStream, UnusedBytes};
+use crate::guarded_stream::{GuardedStream, UnsentPart, UnusedBytes};
 
 #[cfg(test)]
 mod tests;
@@ -55,6 +55,7 @@
 pub(crate) struct Sender {
     requests: SendRequest<Full<Bytes>>,
     unused: UnusedBytes,
+    unsent: UnsentPart,
 }
 
 impl Sender {
@@ -79,6 +80,11 @@
         self.unused.record_used(bytes);
     }
 
+    /// Returns whether a part of the last request is not sent.
+    pub(crate) fn has_unsent_part(&self) -> bool {
+        self.unsent.is_some()
+    }
+
     fn is_ready(&self) -> bool {
         self.requests.is_ready()
     }
@@ -180,7 +186,8 @@
 where
     S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
 {
-    let stream = GuardedStream::new(stream, unused.clone());
+    let unsent = UnsentPart::default();
+    let stream = GuardedStream::new(stream, unused.clone(), unsent.clone());
     let (requests, connection) = http1::Builder::new()
         .max_buf_size(MAX_READ_BYTES)
         .handshake(TokioIo::new(stream))
@@ -190,5 +197,9 @@
         // A connection error is reported to the request that uses the connection.
         let _ended_or_broken = connection.await;
     });
-    Ok(Sender { requests, unused })
+    Ok(Sender {
+        requests,
+        unused,
+        unsent,
+    })
 }
--- a/crates/gateway/src/pool/tests.rs
+++ b/crates/gateway/src/pool/tests.rs
@@ -11,7 +11,7 @@
 
 use super::{MAX_READ_BYTES, handshake};
 use crate::attempt::{ExchangeOutcome, exchange};
-use crate::read_guard::{MAX_UNUSED_BYTES, UnusedBytes};
+use crate::guarded_stream::{MAX_UNUSED_BYTES, UnusedBytes};
 
 /// Bytes on their way between the two ends.
 const PIPE_BYTES: usize = 1024;
--- a/crates/gateway/src/streaming.rs
+++ b/crates/gateway/src/streaming.rs
@@ -172,8 +172,9 @@
     let is_truncated = splitter.is_some_and(|splitter| {
         splitter.has_partial() || !is_framed && history.first_chunk.is_none()
     });
-    // A crash ends an answer without a length like its own end does.
-    if is_truncated || !is_framed && in_use.is_endpoint_gone().await {
+    // A reset while the request is being sent, or a crash, ends an answer without a length like its own end does.
+    let is_cut = !is_framed && connection.has_unsent_part();
+    if is_truncated || is_cut || !is_framed && in_use.is_endpoint_gone().await {
         in_use.record_broken(&job.outgoing);
         return StreamEnd::Broken;
     }
