Gateway: a planned stop refuses requests that come too late, and answers those that are left

Requests without a prompt that came late in the grace period of a gateway were taken and passed on, and at its end their connections were closed under them, also for requests that may not be repeated.

Cause: a gateway that stops compared only the answer that a prompt asks for with the time that is left (outlasts_stop); other requests were taken until the end. And nothing answered a request that an endpoint still worked on when the process ended.

A request without a prompt is expected to take up to four times its route's target latency, and no request longer than its own time; one that would outlast the stop is told 503 and that it may come back at once, before it is sent anywhere. 100 ms before the end, a request whose answer has not begun is told 504 (a new outcome, `stopped`), which promises nothing. The state of the stop has a type of its own, PlannedStop.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -5,15 +5,19 @@
 use std::time::Duration;
 
 use hinge_link::{DrainGuard, OpenConnection};
+use hinge_telemetry::info;
+use hinge_telemetry::log::Component;
 use http::header::CONNECTION;
-use http::{HeaderValue, Request};
+use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpStream;
 
+use crate::body::AnswerBody;
 use crate::gateway::Shared;
+use crate::refusal::Refusal;
 use crate::serve::{Origin, serve};
 
 /// Maximum size of a request's headers, in bytes; route tables ask for 16 KiB. A connection's read buffer grows up to this size
@@ -35,7 +39,12 @@
         let (shared, stopping) = (Arc::clone(&for_requests), stopping.clone());
         let (peer, in_progress) = (peer.clone(), peer.begin_request());
         async move {
-            let mut response = serve(Arc::clone(&shared), request, origin, peer).await;
+            let served = serve(Arc::clone(&shared), request, origin, peer);
+            let mut response = tokio::select! {
+                biased;
+                response = served => response,
+                () = shared.planned_stop.requests_end() => refuse_at_stop(&shared),
+            };
             let asks_to_close = *stopping.borrow()
                 || origin == Origin::Caller && shared.connections.are_nearly_full();
             if asks_to_close {
@@ -53,3 +62,16 @@
         .serve_connection(TokioIo::new(stream), service);
     open.serve(guard, connection)
 }
+
+/// Tells a caller that its request has no answer by the end of a planned stop.
+fn refuse_at_stop(shared: &Shared) -> Response<AnswerBody> {
+    let refusal = Refusal::Stopped;
+    shared.metrics.record_refused(refusal.name());
+    info!(
+        Component::Gateway,
+        "Request.",
+        outcome = refusal.name(),
+        status = refusal.status().as_u16()
+    );
+    refusal.response()
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::ops::RangeInclusive;
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use hinge_clock::BootInstant;
@@ -42,6 +42,7 @@
 use crate::part_trials;
 use crate::peer_discovery;
 use crate::peer_updates;
+use crate::planned_stop::PlannedStop;
 use crate::prepared_refusal;
 use crate::routing_state::RoutingState;
 use crate::serve::Origin;
@@ -108,8 +109,7 @@
     pub(crate) connections: Connections,
     /// Whether overload control refuses new connections.
     pub(crate) is_paused: watch::Sender<bool>,
-    /// When a planned stop cuts off requests that still run; set once the stop begins.
-    pub(crate) stops_at: OnceLock<Instant>,
+    pub(crate) planned_stop: PlannedStop,
     overload: Mutex<OverloadControl>,
     retry_budget_rules: RetryBudgetRules,
     retry_budgets: Mutex<HashMap<Box<str>, RetryBudget>>,
@@ -262,7 +262,7 @@
             keeps_returns: settings.keeps_returns,
             connections: Connections::new(Inbound::new(settings.callers)),
             is_paused: watch::Sender::new(false),
-            stops_at: OnceLock::new(),
+            planned_stop: PlannedStop::default(),
             overload: Mutex::new(OverloadControl::new(settings.overload)),
             retry_budget_rules: settings.retry_budget,
             retry_budgets: Mutex::default(),
@@ -356,19 +356,16 @@
     /// Drains the gateway, and returns whether every request ended before the deadline.
     ///
     /// New connections are accepted for `rotation` longer, because the load balancer notices a lost readiness late; then open
-    /// connections close after the answer in progress.
+    /// connections close after the answer in progress. A request without an answer shortly before the deadline is told that its
+    /// outcome is unknown.
     pub async fn drain(mut self, rotation: Duration, deadline: Duration) -> bool {
         self.readiness.set(Reason::Leaving);
         let ends_at = Instant::now() + deadline;
-        let _first_stop = self.shared.stops_at.set(ends_at);
+        self.shared.planned_stop.begin(ends_at);
         self.shared.streams.leave();
         sleep(rotation).await;
         self.stop.send_replace(true);
-        let left = ends_at.saturating_duration_since(Instant::now());
-        let has_ended = timeout(left, async {
-            while self.serving.join_next().await.is_some() {}
-        });
-        let has_ended = has_ended.await.is_ok();
+        let has_ended = self.shared.planned_stop.finish(&mut self.serving).await;
         let left = ends_at.saturating_duration_since(Instant::now());
         let pending_reports = &self.shared.routing.suspects.pending_reports;
         let passed_on = async {
--- a/crates/gateway/src/gateway/tests.rs
+++ b/crates/gateway/src/gateway/tests.rs
@@ -7,7 +7,7 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::{Arc, Mutex, OnceLock};
+use std::sync::{Arc, Mutex};
 
 use hinge_cases::async_cases;
 use hinge_clock::BootInstant;
@@ -27,6 +27,7 @@
 use crate::gateway_count::GatewayCount;
 use crate::handoff::Handoffs;
 use crate::metrics::Metrics;
+use crate::planned_stop::PlannedStop;
 use crate::routing_state::RoutingState;
 use crate::stream_directory::StreamDirectory;
 use crate::suspects::Suspects;
@@ -91,7 +92,7 @@
         keeps_returns: true,
         connections: Connections::new(Inbound::new(limits(max_connections))),
         is_paused: watch::Sender::new(false),
-        stops_at: OnceLock::new(),
+        planned_stop: PlannedStop::default(),
         overload: Mutex::new(super::OverloadControl::new(OverloadRules::default())),
         retry_budget_rules,
         retry_budgets: Mutex::default(),
--- a/crates/gateway/src/handoff.rs
+++ b/crates/gateway/src/handoff.rs
@@ -286,7 +286,7 @@
     overloaded: &Overloaded,
 ) -> Option<Response<AnswerBody>> {
     // During a planned stop a handed-off request might outlast this gateway, which passes its answer on.
-    if shared.stops_at.get().is_some() {
+    if shared.planned_stop.has_begun() {
         return None;
     }
     if shared.handoffs.peers().in_flight() >= MAX_IN_PROGRESS {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -47,6 +47,9 @@
 /// Time per generated token of an engine under load: one decoding step alongside prefills.
 const TOKEN_TIME: Duration = Duration::from_millis(20);
 
+/// How many times the target latency an answer without a prompt takes at most, as a rule.
+const MAX_TARGETS: u32 = 4;
+
 /// Estimated bytes of the heads of a request and its answer.
 const HEAD_BYTES: u64 = 800;
 
@@ -110,10 +113,13 @@
 impl Job {
     /// Returns whether a planned stop of this instance would cut the answer off, so that the caller had better retry elsewhere.
     pub(crate) fn outlasts_stop(&self) -> bool {
-        let (Some(stops_at), Some(prompt)) = (self.gateway.stops_at.get(), &self.prompt) else {
-            return false;
-        };
-        Instant::now() + TOKEN_TIME * prompt.max_answer_tokens > *stops_at
+        let target = Duration::from_millis(self.route.target_latency_ms);
+        let longest = self.prompt.as_ref().map_or_else(
+            || target * MAX_TARGETS,
+            |prompt| TOKEN_TIME * prompt.max_answer_tokens,
+        );
+        let takes = longest.min(self.outgoing.ends_at.left());
+        !self.gateway.planned_stop.leaves_time_for(takes)
     }
 
     /// Returns whether the request may run more than once.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 mod peer_discovery;
 mod peer_updates;
 mod plain;
+mod planned_stop;
 mod pool;
 mod prepared_refusal;
 mod refusal;
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -50,6 +50,8 @@
     Unknown,
     /// The deadline passed while an endpoint worked on it.
     TimedOut,
+    /// This gateway has stopped as planned before there was an answer; an endpoint may have run it.
+    Stopped,
 }
 
 impl Refusal {
@@ -77,7 +79,7 @@
             Self::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BadBody => StatusCode::BAD_REQUEST,
             Self::Unknown => StatusCode::BAD_GATEWAY,
-            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Self::TimedOut | Self::Stopped => StatusCode::GATEWAY_TIMEOUT,
         }
     }
 
@@ -98,6 +100,7 @@
             Self::Overloaded(_) => "overloaded",
             Self::Unknown => "unknown",
             Self::TimedOut => "timed_out",
+            Self::Stopped => "stopped",
         }
     }
 
@@ -125,6 +128,7 @@
             Self::Overloaded(_) => "This instance has too much to do; the request did not run.\n",
             Self::Unknown => "The endpoint's answer is lost; the request may have run.\n",
             Self::TimedOut => "The time ran out; the request may have run.\n",
+            Self::Stopped => "This instance stops; the request may have run.\n",
         }
     }
 
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -254,7 +254,7 @@
 ) -> Option<Decline> {
     let table = headers.remove(TABLE_HEADER);
     let table = table.and_then(|table| table.to_str().ok()?.parse::<u64>().ok());
-    if gateway.stops_at.get().is_some() {
+    if gateway.planned_stop.has_begun() {
         Some(Decline::Leaving)
     } else if gateway.routing.age() > MAX_STATE_AGE {
         Some(Decline::WithoutControl)
