Gateway: an unnamed stream continues only while control confirms one version, without a gap

Streams that began at a new software version could go on at another one. A gateway out of step for a few seconds, cut off from control or standing still, took up a stream whose caller named it by nothing but its last event, and chose an endpoint of the version that it knew, while endpoints of a new version had joined and had begun streams through other gateways.

Cause: such a stream continues while its service has had one version for as long as a stream lasts, by a list that control confirmed at most 1.5 s ago. In that time another version may join and begin streams. And the time for which a service had one version went on through a gap: what joined and left while a gateway was out of contact is in no list that it gets afterwards.

Both are in one type now, Contact. It knows since when confirmations came without a gap of more than 1.5 s, and a service's version counts for no longer than that. Before an unnamed stream continues, control is asked again, without the wait of the long poll, and the list is judged after that answer. Requests that want the same answer share one query; without an answer within 0.7 s the stream is refused, as it is at once without contact. Named streams, which have a record of their origin, are not affected. What remains: a control instance that is itself behind confirms its own state, for as long as it takes itself for a follower of a leader.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -35,6 +35,9 @@
 /// Delay after every queried instance has failed; an election takes a second or two.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Time in which further requests may want the same query.
+const SHARED_QUERY_DELAY: Duration = Duration::from_millis(20);
+
 /// Minimum interval between log lines while no control instance answers.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -75,15 +78,23 @@
     let mut targets = ControlInstances::new(&seeds.borrow(), rand::random::<u32>() as usize);
     let mut peer_updates = PeerUpdates::new();
     let mut logged_at = Instant::now();
+    let mut wait = WATCH_WAIT;
     loop {
         let was_followed = targets.is_following();
-        let query = current_query(&settings, &routing);
+        let query = current_query(&settings, &routing, wait);
         let to_query = targets.to_query();
         routing.control.store(Arc::new(to_query.to_vec()));
-        let queried = query_any(&client, &query, &to_query);
+        let queried = until_wanted(query_any(&client, &query, &to_query), wait, &routing);
         let fetched = peer_updates.fetch(&client, &routing, &query);
         let (queried, ()) = futures::join!(queried, fetched);
-        let without = routing.age();
+        let Some(queried) = queried else {
+            // Requests that want a confirmation share one query.
+            sleep(SHARED_QUERY_DELAY).await;
+            wait = Duration::ZERO;
+            continue;
+        };
+        wait = WATCH_WAIT;
+        let without = routing.contact.age();
         gauges.set(without, routing.current().table_number());
         match queried {
             Ok(answered) if answered.update.is_unconfirmed.unwrap_or(false) => {
@@ -100,6 +111,7 @@
             Ok(Answered {
                 address,
                 update,
+                queried_at,
                 took,
             }) => {
                 if !was_followed {
@@ -117,7 +129,7 @@
                 peer_updates.set_addresses(update.gateways.clone());
                 let has_table = routing.apply(update);
                 if proves_current(took) {
-                    routing.confirm();
+                    routing.contact.confirm(queried_at);
                     readiness.clear(Reason::Outdated);
                 }
                 if has_table {
@@ -154,7 +166,7 @@
 }
 
 /// Returns the query for everything newer than the current state.
-fn current_query(settings: &FollowSettings, routing: &RoutingState) -> WatchRoutes {
+fn current_query(settings: &FollowSettings, routing: &RoutingState, wait: Duration) -> WatchRoutes {
     let snapshot = routing.current();
     WatchRoutes {
         instance: settings.instance.clone(),
@@ -165,7 +177,7 @@
         evacuations_version: Some(snapshot.evacuations.version),
         accepts_patches: Some(routing.accepts_patches()),
         accepts_unconfirmed: Some(true),
-        wait_ms: millis(WATCH_WAIT),
+        wait_ms: millis(wait),
     }
 }
 
@@ -173,10 +185,24 @@
 struct Answered {
     address: Address,
     update: RoutesUpdate,
+    queried_at: BootInstant,
     /// Time from the query to the answer, with suspensions.
     took: Duration,
 }
 
+/// Waits for the answer to a query; `None` once another one is wanted that is answered at once, unless this one is.
+async fn until_wanted<T>(
+    answer: impl Future<Output = T>,
+    wait: Duration,
+    routing: &RoutingState,
+) -> Option<T> {
+    tokio::select! {
+        biased;
+        answer = answer => Some(answer),
+        () = routing.contact.query_wanted(), if !wait.is_zero() => None,
+    }
+}
+
 /// Returns whether an answer shows that the state was current just now.
 ///
 /// One that took longer than any call may take arrived while this process was stopped or its machine was suspended.
@@ -203,6 +229,7 @@
                 return Ok(Answered {
                     address,
                     update,
+                    queried_at,
                     took: queried_at.elapsed(),
                 });
             }
--- a/crates/gateway/src/history.rs
+++ b/crates/gateway/src/history.rs
@@ -187,7 +187,7 @@
                 .expected
                 .map_or(0, |expected| expected.ends_in.as_millis()),
             table = job.table_number,
-            table_age_ms = job.gateway.routing.age().as_millis(),
+            table_age_ms = job.gateway.routing.contact.age().as_millis(),
             list = job.endpoints_version,
             first_ms = self.first_chunk.map_or(0, |time| time.as_millis()),
             ms = job.arrived.elapsed().as_millis()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod capacity;
 mod connection;
 mod connections;
+mod contact;
 mod deadline;
 mod dedicated_thread;
 mod dialect;
--- a/crates/gateway/src/peer_updates.rs
+++ b/crates/gateway/src/peer_updates.rs
@@ -68,7 +68,8 @@
         routing: &RoutingState,
         query: &WatchRoutes,
     ) {
-        let is_due = routing.age() >= QUERY_AFTER && self.queried_at.elapsed() >= QUERY_INTERVAL;
+        let is_due =
+            routing.contact.age() >= QUERY_AFTER && self.queried_at.elapsed() >= QUERY_INTERVAL;
         if !is_due {
             return;
         }
@@ -87,7 +88,7 @@
                 Component::Gateway,
                 "Another gateway tells of changes.",
                 address = address,
-                without_ms = routing.age().as_millis(),
+                without_ms = routing.contact.age().as_millis(),
                 table = update.table.as_ref().map_or(0, |table| table.number),
                 table_patches = update.table_patches.len(),
                 endpoints = update.endpoints.as_ref().map_or(0, |list| list.version),
--- a/crates/gateway/src/resumption.rs
+++ b/crates/gateway/src/resumption.rs
@@ -12,12 +12,14 @@
 use crate::history::History;
 use crate::job::Job;
 use crate::stream_directory::{Lookup, keep_time};
-use crate::takeover::MAX_STATE_AGE;
 use crate::units::millis;
 
 /// Maximum number of admissions that are asked where a stream began; beyond it they are drawn at random.
 const MAX_ASKED_ADMISSIONS: usize = 64;
 
+/// Timeout of control's confirmation; its caller waits for the next event meanwhile.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// Returns where the stream began, `None` for a request that begins a new one, or why the stream can't continue.
 pub(crate) async fn origin_of(
     gateway: &Shared,
@@ -36,7 +38,7 @@
             Lookup::Ambiguous => (Err("the stream's id was used twice"), "ambiguous"),
             Lookup::Unknown => (Err("the stream's origin is not known"), "unknown"),
         },
-        None => match only_origin(gateway, route) {
+        None => match only_origin(gateway, route).await {
             Some(origin) => (Ok(origin), "only_version"),
             None => (Err("the stream is not named"), "unnamed"),
         },
@@ -59,19 +61,29 @@
     gateway.streams.find(stream, admissions).await
 }
 
-/// Returns where every stream of a route that a caller may still take up must have begun, if that is certain.
+/// Returns where every stream of a route that a caller may still take up must have begun, if control confirms that now.
+async fn only_origin(gateway: &Shared, route: &Route) -> Option<Arc<StreamOrigin>> {
+    listed_origin(gateway, route)?;
+    // The stream may have begun at an endpoint that joined after the last confirmation.
+    let is_confirmed = gateway.routing.contact.confirm_again(CONFIRM_TIMEOUT).await;
+    is_confirmed
+        .then(|| listed_origin(gateway, route))
+        .flatten()
+}
+
+/// Returns where every stream of a route that a caller may still take up must have begun, as far as this gateway knows.
 ///
-/// It is only while the route has one service and that service has had one software version for as long as a stream lasts,
-/// according to a list that control has just confirmed.
-fn only_origin(gateway: &Shared, route: &Route) -> Option<Arc<StreamOrigin>> {
+/// It knows while the route has one service and that service has had one software version, and this gateway contact with
+/// control, for as long as a stream lasts.
+fn listed_origin(gateway: &Shared, route: &Route) -> Option<Arc<StreamOrigin>> {
     let [target] = route.targets.as_slice() else {
         return None;
     };
     let snapshot = gateway.routing.current();
     let (version, held_for) = snapshot.only_version(&target.service)?;
     let longest = Duration::from_millis(route.timeout_ms);
-    let is_certain = held_for >= longest && gateway.routing.age() <= MAX_STATE_AGE;
-    is_certain.then(|| {
+    let in_contact_for = gateway.routing.contact.unbroken_for()?;
+    (held_for.min(in_contact_for) >= longest).then(|| {
         Arc::new(StreamOrigin {
             service: target.service.clone(),
             software_version: version.into(),
--- a/crates/gateway/src/routing_state.rs
+++ b/crates/gateway/src/routing_state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -17,10 +17,10 @@
 use hinge_telemetry::{info, warn};
 
 use crate::admission::{AdmissionAccess, AdmissionClient};
+use crate::contact::Contact;
 use crate::endpoint::Endpoint;
 use crate::notices::NoticeTable;
 use crate::suspects::{Evidence, Suspects};
-use crate::units::millis;
 
 /// An immutable snapshot of the routes and endpoints.
 #[derive(Debug)]
@@ -155,9 +155,7 @@
     pub(crate) control: ArcSwap<Vec<Address>>,
     /// All known control instances.
     pub(crate) known_control: ArcSwap<Vec<Address>>,
-    began: BootInstant,
-    /// When control last confirmed that this state is current, in milliseconds since `began`.
-    confirmed_ms: AtomicU64,
+    pub(crate) contact: Contact,
 }
 
 impl RoutingState {
@@ -172,23 +170,10 @@
             notices: NoticeTable::default(),
             control: ArcSwap::default(),
             known_control: ArcSwap::default(),
-            began: BootInstant::now(),
-            confirmed_ms: AtomicU64::new(0),
+            contact: Contact::new(),
         }
     }
 
-    /// Records that control has just sent everything newer, or confirmed that nothing is.
-    pub(crate) fn confirm(&self) {
-        let now_ms = millis(self.began.elapsed());
-        self.confirmed_ms.store(now_ms, Ordering::Relaxed);
-    }
-
-    /// Returns the time since control last confirmed the state, or since the start if it never has.
-    pub(crate) fn age(&self) -> Duration {
-        let confirmed = Duration::from_millis(self.confirmed_ms.load(Ordering::Relaxed));
-        self.began.elapsed().saturating_sub(confirmed)
-    }
-
     /// Returns the current snapshot, without a lock.
     pub(crate) fn current(&self) -> Arc<RoutingSnapshot> {
         self.current.load_full()
@@ -243,7 +228,7 @@
             before = current.table_number(),
             routes = table.routes.len(),
             teams = table.teams.len(),
-            without_ms = self.age().as_millis()
+            without_ms = self.contact.age().as_millis()
         );
         self.current.store(Arc::new(RoutingSnapshot {
             lookup: Some(Arc::new(RouteIndex::new(table))),
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -19,6 +19,7 @@
 use crate::answer::{ReadError, is_read_whole, read_whole};
 use crate::attempt::{Answer, OutgoingRequest, part_ids};
 use crate::body::AnswerBody;
+use crate::contact::MAX_STATE_AGE;
 use crate::deadline::Deadline;
 use crate::dialect::RequestFacts;
 use crate::gateway::Shared;
@@ -34,7 +35,6 @@
 use crate::routing_state::RoutingSnapshot;
 use crate::streaming;
 use crate::suspects::Verdict;
-use crate::takeover::MAX_STATE_AGE;
 
 /// Interval between two chunks of a stream to another gateway, a fraction of the pause that callers tolerate.
 const BATCH_INTERVAL: Duration = Duration::from_millis(60);
@@ -256,7 +256,7 @@
     let table = table.and_then(|table| table.to_str().ok()?.parse::<u64>().ok());
     if gateway.planned_stop.has_begun() {
         Some(Decline::Leaving)
-    } else if gateway.routing.age() > MAX_STATE_AGE {
+    } else if gateway.routing.contact.age() > MAX_STATE_AGE {
         Some(Decline::WithoutControl)
     } else if table != Some(snapshot.table_number()) {
         Some(Decline::OtherTable)
@@ -292,7 +292,7 @@
         status = status,
         path = parts.uri.path(),
         table = table_number,
-        table_age_ms = gateway.routing.age().as_millis()
+        table_age_ms = gateway.routing.contact.age().as_millis()
     );
     refusal.response()
 }
--- a/crates/gateway/src/takeover.rs
+++ b/crates/gateway/src/takeover.rs
@@ -25,9 +25,6 @@
 /// Idle timeout of a connection, longer than the time for which other gateways reuse one.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// Time without confirmation from control beyond which this gateway's state is too old to serve others; it spans several polls.
-pub(crate) const MAX_STATE_AGE: Duration = Duration::from_millis(1_500);
-
 /// Binds the first free port of a range.
 ///
 /// # Errors
